Log given-up requests with their reason and attempts, and counters every 5 s

The decisions now say why they give a request up; the node writes one structured line for it, at most 50 in 5 s, and a line of counters with the balancer's view of each server. No decision changes.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -308,10 +308,10 @@
             Action::Send { request, server, limit } => {
                 self.record(25, &[&request.0.to_be_bytes(), &server.0.to_be_bytes(), &ns(limit)])
             }
-            Action::Refuse { request, wait } => {
+            Action::Refuse { request, wait, .. } => {
                 self.record(21, &[&request.0.to_be_bytes(), &ns(wait)]);
             }
-            Action::Fail { request } => self.record(22, &[&request.0.to_be_bytes()]),
+            Action::Fail { request, .. } => self.record(22, &[&request.0.to_be_bytes()]),
             Action::Cancel { request, attempt } => {
                 self.record(19, &[&request.0.to_be_bytes(), &[*attempt as u8]]);
             }
--- a/drill/tests/wire.rs
+++ b/drill/tests/wire.rs
@@ -133,9 +133,9 @@
         (Action::Watch, "14 01"),
         (Action::Probe { server: first }, "17 03124a07"),
         (Action::Cancel { request, attempt: 0 }, "13 00068b685d3a91c4 00"),
-        (Action::Fail { request: second }, "16 00058cb70e6f2b19"),
+        (Action::Fail { request: second, reason: Reason::NoTime }, "16 00058cb70e6f2b19"),
         (
-            Action::Refuse { request: second, wait: Some(ns(0x0ee6_b280)) },
+            Action::Refuse { request: second, wait: Some(ns(0x0ee6_b280)), reason: Reason::Shed },
             "15 00058cb70e6f2b19 000000000ee6b280",
         ),
     ] {
--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::{Phase, ServerList};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
+use crate::stats::Stats;
 use bytes::Bytes;
 use finchvale::{KindId, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Time, ZoneId};
 use finchvale_drill::settings::{Field, Names};
@@ -144,6 +145,7 @@
     by_name: RefCell<FxHashMap<String, Rc<Server>>>,
     by_id: RefCell<FxHashMap<ServerId, Rc<Server>>>,
     next_id: Cell<u32>,
+    stats: Rc<Stats>,
 }
 
 /// Names the header of a load report.
@@ -162,6 +164,7 @@
             by_name: RefCell::default(),
             by_id: RefCell::default(),
             next_id: Cell::new(0),
+            stats: Rc::new(Stats::new()),
         }
     }
 
@@ -170,6 +173,16 @@
         self.by_id.borrow().get(&id).cloned()
     }
 
+    /// The node's counters.
+    pub fn stats(&self) -> Rc<Stats> {
+        self.stats.clone()
+    }
+
+    /// Connections open, or about to be.
+    pub fn connections(&self) -> usize {
+        self.limits.connections - self.slots.available_permits()
+    }
+
     /// The names that the settings give to classes, tenants and so on.
     pub fn names(&self) -> &Names {
         &self.names
@@ -267,6 +280,7 @@
         }
         let permit = self.slot().await.ok_or(Outcome::NotSent)?;
         let generation = server.generation.get();
+        self.stats.count(|c| c.connects += 1);
         let connect = TcpStream::connect(server.address.get());
         let stream = match timeout(self.limits.connect_timeout, connect).await {
             Ok(Ok(stream)) => stream,
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -5,18 +5,19 @@
 
 use crate::backend::{Backends, Exchange};
 use crate::discovery::{self, ServerList};
+use crate::stats::Stats;
 use bytes::Bytes;
 use finchvale::{
-    Action, Arrival, Balancer, Class, ClassId, Effect, Ended, Event, ListKind, Outcome, Probed, RequestId,
-    ServerId, Settings, SettingsError, TenantId, Time,
+    Action, Arrival, Balancer, Class, ClassId, Effect, Ended, Event, ListKind, LoadReport, Outcome, Probed,
+    Reason, RequestId, ServerId, Settings, SettingsError, TenantId, Time,
 };
 use http_body_util::Full;
 use hyper::{Request, Response};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashSet, VecDeque};
-use std::fmt;
-use std::io::Write;
+use std::fmt::{self, Write as _};
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -61,6 +62,8 @@
     pub due: Instant,
     /// The client's name for it.
     pub id: Box<[u8]>,
+    /// When its first byte came.
+    pub since: Instant,
     /// What goes on to a server.
     pub request: Request<Bytes>,
 }
@@ -78,6 +81,9 @@
 /// A request in hand.
 struct Entry {
     id: Box<[u8]>,
+    tenant: TenantId,
+    since: Instant,
+    taken: Instant,
     request: Request<Bytes>,
     due: Instant,
     /// For how long a request of a keyed class may be repeated.
@@ -92,6 +98,8 @@
     began: Instant,
     /// False once it is known that it did not run and will not.
     may_have_run: bool,
+    /// How it ended, after how long, and the server's report.
+    end: Option<(Outcome, Duration, Option<LoadReport>)>,
     /// None once it has ended.
     task: Option<AbortHandle>,
 }
@@ -114,6 +122,7 @@
     name: String,
     clock: Clock,
     backends: Rc<Backends>,
+    stats: Rc<Stats>,
     /// Where the list of servers is.
     discovery: Cell<SocketAddr>,
     /// Lists come on request of the balancer.
@@ -156,6 +165,7 @@
             me: me.clone(),
             name,
             clock,
+            stats: backends.stats(),
             backends,
             discovery: Cell::new(discovery),
             asked,
@@ -179,6 +189,11 @@
         self.backends.names()
     }
 
+    /// The node's counters.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
     /// Version of the list held.
     pub fn revision(&self) -> u64 {
         self.revision.get()
@@ -254,9 +269,11 @@
         }
         let id = RequestId(state.next_request);
         state.next_request += 1;
-        let Incoming { class, tenant, work, due, id: name, request } = incoming;
+        self.stats.count(|c| c.requests += 1);
+        let Incoming { class, tenant, work, due, id: name, since, request } = incoming;
         let window = self.windows.get(usize::from(class.0)).copied().flatten();
-        let entry = Entry { id: name, request, due, window, reply: Some(reply), attempts: Vec::new() };
+        let (taken, reply, attempts) = (Instant::now(), Some(reply), Vec::new());
+        let entry = Entry { id: name, tenant, since, taken, request, due, window, reply, attempts };
         state.ledger.insert(id, entry);
         drop(state);
         let remaining = due.saturating_duration_since(Instant::now());
@@ -270,6 +287,7 @@
         let open = state.ledger.get_mut(&request).and_then(|e| e.reply.take());
         drop(state);
         if open.is_some() {
+            self.stats.count(|c| c.gone += 1);
             self.feed(Event::ClientGone { request });
             self.settle(request);
         }
@@ -284,9 +302,12 @@
         }
         a.may_have_run = !exchange.outcome.never_ran();
         let (server, latency) = (a.server, a.began.elapsed());
+        a.end = Some((exchange.outcome, latency, exchange.report));
+        self.stats.count(|c| c.attempts_failed += u64::from(exchange.outcome != Outcome::Served));
         if let Some(answer) = exchange.answer.take() {
             // The first answer closes the request; a later one is the copy's and is dropped.
             if let Some(reply) = entry.reply.take() {
+                self.stats.count(|c| c.served += 1);
                 let _ = reply.send(Answer::Served(answer));
             }
         }
@@ -324,8 +345,10 @@
     fn carry_out(&self, state: &mut State, action: Action) {
         match action {
             Action::Send { request, server, limit } => self.send(state, request, server, limit),
-            Action::Refuse { request, wait } => Self::finish(state, request, Answer::Refused(wait)),
-            Action::Fail { request } => Self::finish(state, request, Answer::Failed),
+            Action::Refuse { request, wait, reason } => {
+                self.finish(state, request, Answer::Refused(wait), reason);
+            }
+            Action::Fail { request, reason } => self.finish(state, request, Answer::Failed, reason),
             Action::Cancel { request, attempt } => Self::cancel(state, request, attempt),
             Action::SetTimer { at, timer } => {
                 let (me, at) = (self.me.clone(), self.clock.instant(at));
@@ -340,11 +363,83 @@
         }
     }
 
-    fn finish(state: &mut State, request: RequestId, answer: Answer) {
+    fn finish(&self, state: &mut State, request: RequestId, answer: Answer, reason: Reason) {
         // A client that has left takes no answer; nothing is owed then.
-        if let Some(reply) = state.ledger.get_mut(&request).and_then(|e| e.reply.take()) {
-            let _ = reply.send(answer);
+        let Some(entry) = state.ledger.get_mut(&request) else { return };
+        let Some(reply) = entry.reply.take() else { return };
+        let refused = matches!(answer, Answer::Refused(_));
+        self.stats.count(|c| *(if refused { &mut c.refused } else { &mut c.failed }) += 1);
+        let _ = reply.send(answer);
+        if self.stats.single() {
+            self.log_given_up(entry, if refused { "refused" } else { "failed" }, reason);
+        }
+    }
+
+    // ---- what is logged ----
+    /// One line on a request that ends badly, with all that became of it. The client's name for it is cut and made
+    /// harmless: anyone may have chosen it.
+    fn log_given_up(&self, entry: &Entry, answer: &str, reason: Reason) {
+        let ms = |d: Duration| d.as_secs_f64() * 1e3;
+        let id = entry.id[..entry.id.len().min(64)].escape_ascii();
+        let mut line = format!(
+            "request id={id} tenant={} answer={answer} reason={reason:?} read_ms={:.2} age_ms={:.2} left_ms={:.0}",
+            entry.tenant,
+            ms(entry.taken - entry.since),
+            ms(entry.since.elapsed()),
+            ms(entry.due.saturating_duration_since(Instant::now())),
+        );
+        for a in &entry.attempts {
+            let at = ms(a.began - entry.since);
+            let _ = write!(line, " attempt={}@{at:.2}", a.server);
+            if let Some((outcome, latency, report)) = &a.end {
+                let _ = write!(line, ":{outcome:?}:{:.2}", ms(*latency));
+                let report = report.unwrap_or_default();
+                let figures = [("util", report.busy), ("queue", report.waiting)];
+                for (name, figure) in figures.iter().filter_map(|f| Some((f.0, f.1?))) {
+                    let _ = write!(line, ":{name}={figure:.2}");
+                }
+            }
+        }
+        self.log(format_args!("{line}"));
+    }
+
+    /// The counters since they were last written, and what the balancer goes by.
+    pub fn log_stats(&self) {
+        let Some((c, time)) = self.stats.take() else { return };
+        let state = self.state.borrow();
+        let view = state.balancer.view();
+        let (clients, open) = (c.accepted, self.backends.connections());
+        let mut line = format!(
+            "stats s={:.1} requests={} served={} refused={} failed={} gone={} unlogged={} in_hand={} attempts={} \
+             attempts_failed={} accepted={clients} told_to_close={} upstream_new={} upstream_open={open} shed={:.3} \
+             load={:.2} latency_ms={:.1} retry_budget={:.1}",
+            time.as_secs_f64(),
+            c.requests,
+            c.served,
+            c.refused,
+            c.failed,
+            c.gone,
+            c.suppressed,
+            state.ledger.len(),
+            c.attempts,
+            c.attempts_failed,
+            c.told_to_close,
+            c.connects,
+            view.shed,
+            view.load,
+            view.latency * 1e3,
+            view.further,
+        );
+        for s in &view.servers {
+            let load = s.load.unwrap_or(f64::NAN);
+            let _ = write!(
+                line,
+                " {}:price={:.2},load={load:.2},speed={:.2},share={:.2},out={}",
+                s.server, s.price, s.speed, s.share, s.out
+            );
         }
+        drop(state);
+        self.log(format_args!("{line}"));
     }
 
     fn send(&self, state: &mut State, request: RequestId, server: ServerId, limit: Option<Duration>) {
@@ -353,8 +448,9 @@
         let attempt = entry.attempts.len() as u32;
         let backend = self.backends.get(server).filter(|_| entry.reply.is_some());
         let Some(backend) = backend else {
-            entry.attempts.push(Attempt { server, began, may_have_run: false, task: None });
             let (outcome, latency, closed) = (Outcome::NotSent, Duration::ZERO, entry.reply.is_none());
+            let end = Some((outcome, latency, None));
+            entry.attempts.push(Attempt { server, began, may_have_run: false, end, task: None });
             let report = None;
             let ended = Ended { request, attempt, server, outcome, latency, closed, report };
             return state.events.push_back(Event::Ended(ended));
@@ -373,13 +469,16 @@
                 backends.give_back(&backend, connection).await;
             }
         });
-        entry.attempts.push(Attempt { server, began, may_have_run: true, task: Some(task.abort_handle()) });
+        self.stats.count(|c| c.attempts += 1);
+        let task = Some(task.abort_handle());
+        entry.attempts.push(Attempt { server, began, may_have_run: true, end: None, task });
     }
 
     fn cancel(state: &mut State, request: RequestId, attempt: u32) {
         let Some(entry) = state.ledger.get_mut(&request) else { return };
         let Some(a) = entry.attempts.get_mut(attempt as usize) else { return };
         let Some(task) = a.task.take() else { return };
+        a.end = Some((Outcome::Cancelled, a.began.elapsed(), None));
         task.abort(); // Its connection goes with it.
         let (server, latency, closed) = (a.server, a.began.elapsed(), entry.reply.is_none());
         let outcome = Outcome::Cancelled;
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -275,6 +275,7 @@
 
     fn connected(self: Rc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
+        self.engine.stats().count(|c| c.accepted += 1);
         let client = Rc::new(Client {
             socket: Rc::new(stream),
             stage: Cell::new(Stage::New),
@@ -315,6 +316,7 @@
             // A client that is told to close goes elsewhere next. Where places run short each is: many ask once and keep
             // their connection, and until those may be closed nobody else would get in.
             if *self.phase.borrow() > Phase::Serving || self.scarce() {
+                self.engine.stats().count(|c| c.told_to_close += 1);
                 close(&mut response);
             }
             Ok::<_, Infallible>(response)
@@ -391,7 +393,7 @@
         *outgoing.uri_mut() = order.target;
         *outgoing.headers_mut() = end_to_end(parts.headers);
         let Order { class, tenant, work, id, .. } = order;
-        let taken = self.engine.arrival(Incoming { class, tenant, work, due, id, request: outgoing });
+        let taken = self.engine.arrival(Incoming { class, tenant, work, due, id, since, request: outgoing });
         let Some(taken) = taken else {
             return turned_down(StatusCode::CONFLICT, "a request of this X-Request-ID is open");
         };
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod frontend;
 mod gate;
+mod stats;
 
 use backend::Backends;
 use config::Config;
@@ -80,6 +81,14 @@
         }
     });
     spawn_local(async move { backends.retire_idle().await });
+    let counted = engine.clone();
+    spawn_local(async move {
+        let mut every = tokio::time::interval_at(tokio::time::Instant::now() + stats::EVERY, stats::EVERY);
+        loop {
+            every.tick().await;
+            counted.log_stats();
+        }
+    });
     let (phase, phases) = watch::channel(Phase::Serving);
     let served = spawn_local(Frontend::new(engine.clone(), effects, clients as u32, phases).serve(listener));
     tokio::select! {
--- /dev/null
+++ b/node/src/stats.rs
@@ -0,0 +1,92 @@
+//! What the node counts for its log, and how much it says of single requests.
+
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How often the counters are written.
+pub const EVERY: Duration = Duration::from_secs(5);
+/// Most requests given up that are written one by one, in the time between two lines of counters.
+const MOST_SINGLE: u64 = 50;
+
+/// Counters since the last line of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Client connections accepted.
+    pub accepted: u64,
+    /// Answers that told their client to close its connection.
+    pub told_to_close: u64,
+    /// Requests taken.
+    pub requests: u64,
+    /// Answered with a server's answer.
+    pub served: u64,
+    /// Answered as refused.
+    pub refused: u64,
+    /// Answered as failed.
+    pub failed: u64,
+    /// Clients that left before their answer.
+    pub gone: u64,
+    /// Attempts begun.
+    pub attempts: u64,
+    /// Attempts that no server answered with success.
+    pub attempts_failed: u64,
+    /// Upstream connections opened.
+    pub connects: u64,
+    /// Requests given up that were not written one by one.
+    pub suppressed: u64,
+}
+
+/// Counters for the log.
+pub struct Stats {
+    counts: Cell<Counts>,
+    since: Cell<Instant>,
+    single: Cell<u64>,
+}
+
+impl Stats {
+    /// All zero.
+    pub fn new() -> Self {
+        Stats { counts: Cell::default(), since: Cell::new(Instant::now()), single: Cell::new(0) }
+    }
+
+    /// Changes a counter.
+    pub fn count(&self, change: impl FnOnce(&mut Counts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// Whether one more request given up may be written by itself; counts it if not.
+    pub fn single(&self) -> bool {
+        let written = self.single.get();
+        if written < MOST_SINGLE {
+            self.single.set(written + 1);
+            return true;
+        }
+        self.count(|c| c.suppressed += 1);
+        false
+    }
+
+    /// The counters and their time, which start again from zero. None: nothing happened.
+    pub fn take(&self) -> Option<(Counts, Duration)> {
+        self.single.set(0);
+        let time = self.since.replace(Instant::now()).elapsed();
+        let counts = self.counts.take();
+        (counts.requests + counts.accepted + counts.attempts > 0).then_some((counts, time))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn single_lines_are_bounded_and_the_rest_is_counted() {
+        let stats = Stats::new();
+        stats.count(|c| c.requests += 2 * MOST_SINGLE);
+        assert_eq!((0..2 * MOST_SINGLE).filter(|_| stats.single()).count() as u64, MOST_SINGLE);
+        assert_eq!(stats.take().expect("counters").0.suppressed, MOST_SINGLE);
+        assert!(stats.take().is_none(), "nothing has happened since");
+        assert!(stats.single());
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -279,6 +279,25 @@
     }
 }
 
+/// Why a request is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Its work alone takes longer than its aim.
+    TooLong,
+    /// Its time was over when it came.
+    Expired,
+    /// Turned away on arrival for the servers' load.
+    Shed,
+    /// No server is open to it.
+    NoServer,
+    /// Too little time is left for another attempt.
+    NoTime,
+    /// It has had all its attempts.
+    Attempts,
+    /// The retry budget is spent.
+    RetryBudget,
+}
+
 /// A server's own word on its load; what it does not report is `None`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
@@ -396,11 +415,15 @@
         request: RequestId,
         /// Advised wait.
         wait: Option<Duration>,
+        /// What for.
+        reason: Reason,
     },
     /// Final answer: failed, without promise.
     Fail {
         /// The request.
         request: RequestId,
+        /// What for.
+        reason: Reason,
     },
     /// Stop waiting for an attempt.
     Cancel {
@@ -427,6 +450,38 @@
     Log(String),
 }
 
+/// What a balancer holds of a server, for the node's log.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerView {
+    /// The server.
+    pub server: ServerId,
+    /// Its price, relative to the fleet.
+    pub price: f64,
+    /// Its load as last heard.
+    pub load: Option<f64>,
+    /// Its speed, relative to the fleet's mean.
+    pub speed: f64,
+    /// Its part of this node's draws; 1 is an even part.
+    pub share: f64,
+    /// Attempts out there.
+    pub out: usize,
+}
+
+/// What a balancer goes by at present, for the node's log.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Part of the first class's arrivals that is shed.
+    pub shed: f64,
+    /// Mean load of the servers heard of.
+    pub load: f64,
+    /// Usual latency of an answer, in seconds.
+    pub latency: f64,
+    /// Further attempts that the retry budget holds.
+    pub further: f64,
+    /// The ready servers.
+    pub servers: Vec<ServerView>,
+}
+
 impl Settings {
     /// Says what makes no sense, if anything does.
     pub fn check(&self) -> Result<(), SettingsError> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -338,10 +338,15 @@
             self.markets[usize::from(class.0)].learn_work(w);
             self.mean_work += (w - self.mean_work) * if self.mean_work > 0.0 { 1.0 / 32.0 } else { 1.0 };
         }
-        if hopeless || a.remaining.is_zero() || self.random() * worth < toll {
-            self.finish(a.request, actions);
-        } else {
-            self.place(now, a.request, actions);
+        // The mark is drawn for these alone: the others need none.
+        let reason = match hopeless {
+            true => Some(Reason::TooLong),
+            false if a.remaining.is_zero() => Some(Reason::Expired),
+            false => (self.random() * worth < toll).then_some(Reason::Shed),
+        };
+        match reason {
+            Some(reason) => self.finish(a.request, reason, actions),
+            None => drop(self.place(now, a.request, actions)),
         }
     }
 
@@ -428,7 +433,9 @@
 
     fn send(&mut self, now: Time, id: RequestId, server: Option<usize>, actions: &mut Vec<Action>) {
         let fits = |i: &usize| self.requests.get(&id).is_some_and(|r| self.open(now, r, &self.servers[*i]));
-        let Some(i) = server.filter(fits) else { return self.finish(id, actions) };
+        let Some(i) = server.filter(fits) else {
+            return self.finish(id, Reason::NoServer, actions);
+        };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let s = &mut self.servers[i];
         let fresh = !s.connected(now, self.settings.conn_idle);
@@ -480,15 +487,20 @@
         let Some(r) = self.requests.get(&end.request) else { return };
         let left = self.aim(r.class, r.work) - (now - r.arrived).as_secs_f64();
         let tries = (r.attempts.len() as u32) < self.settings.max_attempts;
-        if left < 0.5 * self.latency || r.ends <= now || !tries || self.further < 1.0 {
-            self.finish(end.request, actions);
+        let reason = match () {
+            () if left < 0.5 * self.latency || r.ends <= now => Some(Reason::NoTime),
+            () if !tries => Some(Reason::Attempts),
+            () => (self.further < 1.0).then_some(Reason::RetryBudget),
+        };
+        if let Some(reason) = reason {
+            self.finish(end.request, reason, actions);
         } else if self.place(now, end.request, actions) {
             self.further -= 1.0;
         }
     }
 
     /// The final answer of a request that is given up: refused where that is true to its class, else failed.
-    fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn finish(&mut self, id: RequestId, reason: Reason, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| r.open && !r.begun) else { return };
         r.open = false;
         let harmless = match self.settings.classes[usize::from(r.class.0)].effect {
@@ -496,8 +508,8 @@
             _ => !r.attempts.iter().any(Attempt::risky),
         };
         actions.push(match harmless {
-            true => Action::Refuse { request: id, wait: self.settings.max_wait },
-            false => Action::Fail { request: id },
+            true => Action::Refuse { request: id, wait: self.settings.max_wait, reason },
+            false => Action::Fail { request: id, reason },
         });
         self.forget(id);
     }
@@ -519,7 +531,7 @@
             }
         }
         let Some(r) = self.requests.get(&id).filter(|r| !r.asked.is_empty()) else {
-            self.finish(id, actions);
+            self.finish(id, Reason::NoServer, actions);
             return false;
         };
         if r.asked.iter().all(|a| a.1.is_some()) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -428,6 +428,24 @@
         class.aim.as_secs_f64() + class.aim_stretch * work.unwrap_or(0.0)
     }
 
+    /// What it goes by at present.
+    pub fn view(&self) -> View {
+        let shares = self.markets.first().map_or(&[][..], |m| &m.shares);
+        let servers = self.ready.iter().enumerate().map(|(k, &i)| {
+            let s = &self.servers[i];
+            let speed = if s.evidence > 0.0 { s.speed / self.mean_speed } else { 1.0 };
+            let share = shares.get(k).copied().unwrap_or(0.0);
+            ServerView { server: s.id, price: s.price, load: s.load, speed, share, out: s.out.len() }
+        });
+        View {
+            shed: self.markets.first().map_or(0.0, |m| m.refused),
+            load: self.mean_load,
+            latency: self.latency,
+            further: self.further,
+            servers: servers.collect(),
+        }
+    }
+
     /// Asks for a timer after `wait` seconds.
     pub(crate) fn set_timer(&mut self, now: Time, wait: f64, actions: &mut Vec<Action>) -> TimerId {
         self.next_timer = self.next_timer.wrapping_add(1);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -256,7 +256,7 @@
                     return broken("rule 1, a second answer");
                 }
             }
-            Action::Fail { request } => {
+            Action::Fail { request, .. } => {
                 let Some(r) = self.requests.get_mut(request) else { return broken("unknown request") };
                 if !std::mem::take(&mut r.open) {
                     return broken("rule 1, a second answer");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -193,14 +193,15 @@
         }
         o
     };
-    let refuse = |request| Action::Refuse { request: RequestId(request), wait: None };
+    let refuse =
+        |request| Action::Refuse { request: RequestId(request), wait: None, reason: Reason::NoServer };
     // Rule 1: no answer, two answers, a send after the end.
     assert_eq!(start().overdue(at(1020)), Some(RequestId(0)));
     assert_eq!(start().overdue(at(900)), None);
     let mut o = start();
     o.action(at(1), &refuse(0)).expect("safe requests may be refused");
     assert!(o.action(at(1), &refuse(0)).is_err());
-    assert!(o.action(at(1), &Action::Fail { request: RequestId(0) }).is_err());
+    assert!(o.action(at(1), &Action::Fail { request: RequestId(0), reason: Reason::NoServer }).is_err());
     assert!(o.action(at(1), &send(0, 1)).is_err());
     // Rule 2: unsafe again, keyed outside its group or window, refused though it may have run, two out.
     for (request, server, when, fine) in [
