--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -509,6 +509,26 @@
     assert!(after < 0.1, "{after}");
 }
 
+/// Incident inc3539: a report of a request or two waiting counted as that many capacities of load, so that half-idle
+/// servers were dear and most arrivals were shed. What waits counts by the time that it takes.
+#[test]
+fn a_short_queue_at_a_half_idle_server_sheds_nothing() {
+    let shed = |waiting: f64| {
+        let mut b = blind();
+        b.latency = 0.05;
+        for k in 0..200 {
+            let now = at(20 * k);
+            let Some(server) = sent(&mut b, now, k) else { continue };
+            let end = plain_end(k, server, Outcome::Served);
+            let report = Some(LoadReport { waiting: Some(waiting), ..report(0.5, 0.0) });
+            b.handle(now, Event::Ended(Ended { latency: ms(50), report, ..end }), &mut vec![]);
+        }
+        b.markets[0].refused
+    };
+    assert_eq!(shed(2.0), 0.0);
+    assert!(shed(30.0) > 0.5, "a queue as long as the aim is an overload");
+}
+
 fn plain_end(id: u64, server: ServerId, outcome: Outcome) -> Ended {
     let report = (outcome == Outcome::Served).then(|| report(0.3, 0.0));
     let Event::Ended(end) = ended(id, 0, server, outcome, report) else { unreachable!("an end") };
