--- a/src/logic.rs
+++ b/src/logic.rs
@@ -261,11 +261,12 @@
         let usable = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
         let Some(busy) = usable(report.busy).map(|b| b.min(LOAD_MOST)) else { return };
         self.step(i, now);
-        let aim = self.settings.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min);
+        let aims = self.settings.classes.iter().map(|c| c.aim.as_secs_f64());
+        let aim = aims.fold(f64::INFINITY, f64::min);
         let s = &mut self.servers[i];
         let waiting = usable(report.waiting).unwrap_or(0.0);
         let held = usable(report.held).filter(|_| report.waiting.is_none());
-        // A count is no part of capacity: what waits counts by the part of the aim that it takes to be served.
+        // A count is no part of capacity: what waits counts by the part of the aim that it takes.
         let mut load = busy + waiting * self.latency / aim;
         // Held beyond what goes with its busy part waits.
         if let Some(held) = held {
