--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -370,7 +370,7 @@
         let refused = matches!(answer, Answer::Refused(_));
         self.stats.count(|c| *(if refused { &mut c.refused } else { &mut c.failed }) += 1);
         let _ = reply.send(answer);
-        if self.stats.single() {
+        if self.stats.single(reason) {
             self.log_given_up(entry, if refused { "refused" } else { "failed" }, reason);
         }
     }
@@ -407,7 +407,7 @@
     pub fn log_stats(&self) {
         let Some((c, time)) = self.stats.take() else { return };
         let state = self.state.borrow();
-        let view = state.balancer.view();
+        let view = state.balancer.view(self.clock.now());
         let (clients, open) = (c.accepted, self.backends.connections());
         let mut line = format!(
             "stats s={:.1} requests={} served={} refused={} failed={} gone={} unlogged={} in_hand={} attempts={} \
@@ -430,12 +430,15 @@
             view.latency * 1e3,
             view.further,
         );
+        for (name, rate) in self.names().tenants.iter().zip(&view.tenants) {
+            let _ = write!(line, " {}={rate:.2}", name.escape_debug());
+        }
         for s in &view.servers {
             let load = s.load.unwrap_or(f64::NAN);
             let _ = write!(
                 line,
-                " {}:price={:.2},load={load:.2},speed={:.2},share={:.2},out={}",
-                s.server, s.price, s.speed, s.share, s.out
+                " {}:price={:.2},load={load:.2},warm={:.2},speed={:.2},share={:.2},out={}",
+                s.server, s.price, s.warmth, s.speed, s.share, s.out
             );
         }
         drop(state);
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -1,13 +1,16 @@
 //! What the node counts for its log, and how much it says of single requests.
 
-use std::cell::Cell;
+use finchvale::Reason;
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// How often the counters are written.
 pub const EVERY: Duration = Duration::from_secs(5);
-/// Most requests given up that are written one by one, in the time between two lines of counters.
-const MOST_SINGLE: u64 = 50;
+/// Most requests given up for one reason that are written one by one, in the time between two lines of counters: a
+/// flood of one kind must not hide the others.
+const MOST_SINGLE: u32 = 10;
 
 /// Counters since the last line of them.
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,13 +43,13 @@
 pub struct Stats {
     counts: Cell<Counts>,
     since: Cell<Instant>,
-    single: Cell<u64>,
+    single: RefCell<FxHashMap<Reason, u32>>,
 }
 
 impl Stats {
     /// All zero.
     pub fn new() -> Self {
-        Stats { counts: Cell::default(), since: Cell::new(Instant::now()), single: Cell::new(0) }
+        Stats { counts: Cell::default(), since: Cell::new(Instant::now()), single: RefCell::default() }
     }
 
     /// Changes a counter.
@@ -57,10 +60,11 @@
     }
 
     /// Whether one more request given up may be written by itself; counts it if not.
-    pub fn single(&self) -> bool {
-        let written = self.single.get();
-        if written < MOST_SINGLE {
-            self.single.set(written + 1);
+    pub fn single(&self, reason: Reason) -> bool {
+        let mut single = self.single.borrow_mut();
+        let written = single.entry(reason).or_default();
+        if *written < MOST_SINGLE {
+            *written += 1;
             return true;
         }
         self.count(|c| c.suppressed += 1);
@@ -69,7 +73,7 @@
 
     /// The counters and their time, which start again from zero. None: nothing happened.
     pub fn take(&self) -> Option<(Counts, Duration)> {
-        self.single.set(0);
+        self.single.borrow_mut().clear();
         let time = self.since.replace(Instant::now()).elapsed();
         let counts = self.counts.take();
         (counts.requests + counts.accepted + counts.attempts > 0).then_some((counts, time))
@@ -83,10 +87,12 @@
     #[test]
     fn single_lines_are_bounded_and_the_rest_is_counted() {
         let stats = Stats::new();
-        stats.count(|c| c.requests += 2 * MOST_SINGLE);
-        assert_eq!((0..2 * MOST_SINGLE).filter(|_| stats.single()).count() as u64, MOST_SINGLE);
-        assert_eq!(stats.take().expect("counters").0.suppressed, MOST_SINGLE);
+        stats.count(|c| c.requests += 1);
+        let written = (0..2 * MOST_SINGLE).filter(|_| stats.single(Reason::Shed)).count();
+        assert_eq!(written, MOST_SINGLE as usize);
+        assert!(stats.single(Reason::NoServer), "another reason has its own");
+        assert_eq!(stats.take().expect("counters").0.suppressed, u64::from(MOST_SINGLE));
         assert!(stats.take().is_none(), "nothing has happened since");
-        assert!(stats.single());
+        assert!(stats.single(Reason::Shed));
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,7 +280,7 @@
 }
 
 /// Why a request is given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Reason {
     /// Its work alone takes longer than its aim.
     TooLong,
@@ -459,6 +459,8 @@
     pub price: f64,
     /// Its load as last heard.
     pub load: Option<f64>,
+    /// Part of its capacity that it has by now, at least.
+    pub warmth: f64,
     /// Its speed, relative to the fleet's mean.
     pub speed: f64,
     /// Its part of this node's draws; 1 is an even part.
@@ -478,6 +480,8 @@
     pub latency: f64,
     /// Further attempts that the retry budget holds.
     pub further: f64,
+    /// Each tenant's rate over all nodes, as a part of its quota.
+    pub tenants: Vec<f64>,
     /// The ready servers.
     pub servers: Vec<ServerView>,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,11 @@
         rate / (1.0 - (-seen).exp())
     }
 
+    /// The rate a second, left as it is.
+    pub(crate) fn read(&self, now: Time) -> f64 {
+        self.count * (-(now - self.at).as_secs_f64() / self.window).exp() / self.window
+    }
+
     /// Counts `amount` and returns the rate a second.
     pub(crate) fn add(&mut self, now: Time, amount: f64) -> f64 {
         self.count = self.count * (-(now - self.at).as_secs_f64() / self.window).exp() + amount;
@@ -429,19 +434,24 @@
     }
 
     /// What it goes by at present.
-    pub fn view(&self) -> View {
+    pub fn view(&self, now: Time) -> View {
+        let nodes = f64::from(self.settings.nodes);
+        let tenants = self.tenants.iter().zip(&self.settings.tenants);
+        let tenants = tenants.map(|(rate, t)| rate.read(now) * nodes / t.quota_per_s).collect();
         let shares = self.markets.first().map_or(&[][..], |m| &m.shares);
         let servers = self.ready.iter().enumerate().map(|(k, &i)| {
             let s = &self.servers[i];
             let speed = if s.evidence > 0.0 { s.speed / self.mean_speed } else { 1.0 };
             let share = shares.get(k).copied().unwrap_or(0.0);
-            ServerView { server: s.id, price: s.price, load: s.load, speed, share, out: s.out.len() }
+            let (load, out, warmth) = (s.load, s.out.len(), s.warmth(&self.settings.rules, now));
+            ServerView { server: s.id, price: s.price, load, warmth, speed, share, out }
         });
         View {
             shed: self.markets.first().map_or(0.0, |m| m.refused),
             load: self.mean_load,
             latency: self.latency,
             further: self.further,
+            tenants,
             servers: servers.collect(),
         }
     }
