Weigh a tenant by what is let in of its quota, not by arrivals that refusals repeat

Refusal fed itself, worst for whoever passed the quota first.

Ruled out: the share of servers (all tenants use all), limits on connections, and the quotas themselves (settings as told). Counting let-in requests with the worth capped at the class's freed the worst tenant, but left no difference at all among tenants below their quotas.

At fault: src/logic.rs:362-364, rate.add on each arrival, and .min(1.0). The rate now counts what is let in, and a tenant below its quota is worth more the further below it is, up to WORTH_MOST, so that a refusal raises its standing.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,7 @@
 const SHED_TIME: f64 = 0.5; // s that one attempt speaks for, at most
 const SHED_MOST: f64 = 0.98; // the rest goes on asking whether servers are well again
 const RECOVER: f64 = 24.0; // s in which shedding drifts back by itself, for when nothing is sent
+const WORTH_MOST: f64 = 8.0; // times its class's worth that a request of a tenant in want counts for
 const WORTHS: usize = 64; // recent arrivals whose worths set the toll
 const COLD_PART: f64 = 0.2; // part of a cold server's budget that all nodes spend; the rest is for chance
 const HEAVY_PART: f64 = 0.25; // part of it that one request may take
@@ -350,17 +351,23 @@
         };
         match reason {
             Some(reason) => self.finish(a.request, reason, actions),
-            None => drop(self.place(now, a.request, actions)),
+            None => {
+                if let Some(rate) = self.tenants.get_mut(usize::from(a.tenant.0)) {
+                    rate.add(now, 1.0);
+                }
+                self.place(now, a.request, actions);
+            }
         }
     }
 
-    /// Worth of a request at its tenant's present rate.
+    /// Worth of a request by the part of its quota that its tenant is let in for: the less, the more. What is
+    /// turned away doesn't count. It comes again, and for each refusal its tenant would be refused the more.
     fn worth(&mut self, now: Time, class: ClassId, tenant: TenantId) -> f64 {
         let mut worth = self.settings.classes[usize::from(class.0)].worth;
         if let Some(rate) = self.tenants.get_mut(usize::from(tenant.0)) {
-            let rate = rate.add(now, 1.0) * f64::from(self.settings.nodes);
-            let within = (self.settings.tenants[usize::from(tenant.0)].quota_per_s / rate).min(1.0);
-            worth *= within + (1.0 - within) * self.settings.over_share_worth;
+            let rate = rate.add(now, 0.0) * f64::from(self.settings.nodes);
+            let within = self.settings.tenants[usize::from(tenant.0)].quota_per_s / rate.max(1e-9);
+            worth *= within.min(WORTH_MOST) + (1.0 - within).max(0.0) * self.settings.over_share_worth;
         }
         let leader = self.markets[usize::from(class.0)].leader;
         self.markets[leader].note_worth(worth, WORTHS);
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -542,6 +542,31 @@
     assert_eq!(load(None), Some(1.0 + EXCESS));
 }
 
+/// Incident inc5571: a tenant's rate counted the tries by which its refused clients came back, up to 4.9 times its quota,
+/// so that it was worth less for each refusal and refused the more.
+#[test]
+fn a_tenant_whose_clients_come_back_is_not_worth_less() {
+    let tenants = vec![Tenant { quota_per_s: 60.0 }, Tenant { quota_per_s: 60.0 }];
+    let mut b = Balancer::new(Settings { tenants, nodes: 1, ..blind().settings }, 7, at(0)).expect("sound");
+    b.handle(at(0), list(40), &mut vec![]);
+    // Both are let in at the same rate; the second comes three times more, and is turned away.
+    for k in 0..250u64 {
+        for (n, (tenant, remaining)) in [(0, 1000), (1, 1000), (1, 0), (1, 0), (1, 0)].into_iter().enumerate()
+        {
+            let id = 5 * k + n as u64;
+            let Event::Arrival(a) = arrival(id, 0) else { unreachable!("an arrival") };
+            let a = Arrival { tenant: TenantId(tenant), remaining: ms(remaining), ..a };
+            let mut actions = vec![];
+            b.handle(at(20 * k), Event::Arrival(a), &mut actions);
+            let Some(Action::Send { server, .. }) = actions.pop() else { continue };
+            let end = Ended { latency: ms(50), ..plain_end(id, server, Outcome::Served) };
+            b.handle(at(20 * k), Event::Ended(end), &mut vec![]);
+        }
+    }
+    let worth = |b: &mut Balancer, tenant| b.worth(at(5000), ClassId(0), TenantId(tenant));
+    assert_eq!(worth(&mut b, 0), worth(&mut b, 1));
+}
+
 fn plain_end(id: u64, server: ServerId, outcome: Outcome) -> Ended {
     let report = (outcome == Outcome::Served).then(|| report(0.3, 0.0));
     let Event::Ended(end) = ended(id, 0, server, outcome, report) else { unreachable!("an end") };
