--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -15,6 +15,7 @@
 use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, Visitor};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
+use std::error::Error;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -118,11 +119,18 @@
     pub answer: Option<Response<Bytes>>,
     /// The connection, if it is good for another request.
     pub connection: Option<Connection>,
+    /// What was wrong with the connection or the answer, where that is known.
+    pub problem: Option<String>,
 }
 
 impl Exchange {
     fn failed(outcome: Outcome) -> Self {
-        Exchange { outcome, report: None, answer: None, connection: None }
+        Exchange { outcome, report: None, answer: None, connection: None, problem: None }
+    }
+
+    fn broken(error: &dyn Error) -> Self {
+        let source = error.source().map(|s| format!(": {s}")).unwrap_or_default();
+        Exchange { problem: Some(format!("{error}{source}")), ..Exchange::failed(Outcome::Broken) }
     }
 }
 
@@ -417,12 +425,12 @@
             Ok(response) => response,
             // Handed back unsent. Anything else may have reached the server, and may have run there.
             Err(error) if error.message().is_some() => return Exchange::failed(Outcome::Unreachable),
-            Err(_) => return Exchange::failed(Outcome::Broken),
+            Err(error) => return Exchange::broken(error.error()),
         };
         let (head, body) = response.into_parts();
         let body = match Limited::new(body, MOST_BODY as usize).collect().await {
             Ok(body) => body.to_bytes(),
-            Err(_) => return Exchange::failed(Outcome::Broken),
+            Err(error) => return Exchange::broken(&*error),
         };
         let outcome = outcome(head.status, &head.headers);
         let served = outcome == Outcome::Served;
@@ -432,7 +440,7 @@
             false => None,
         };
         let answer = (attempt && served).then(|| Response::from_parts(head, body));
-        Exchange { outcome, report, answer, connection: Some(connection) }
+        Exchange { outcome, report, answer, connection: Some(connection), problem: None }
     }
 
     /// Reads a load report by the names of its fields; without any of them it is none.
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -303,7 +303,12 @@
         a.may_have_run = !exchange.outcome.never_ran();
         let (server, latency) = (a.server, a.began.elapsed());
         a.end = Some((exchange.outcome, latency, exchange.report));
-        self.stats.count(|c| c.attempts_failed += u64::from(exchange.outcome != Outcome::Served));
+        self.stats.count(|c| c.ended(exchange.outcome));
+        if let Some(problem) = exchange.problem.take().filter(|_| self.stats.single_broken()) {
+            let id = printable(&entry.id);
+            let ms = latency.as_secs_f64() * 1e3;
+            self.log(format_args!("broken id={id} server={server} attempt={attempt} ms={ms:.2} {problem}"));
+        }
         if let Some(answer) = exchange.answer.take() {
             // The first answer closes the request; a later one is the copy's and is dropped.
             if let Some(reply) = entry.reply.take() {
@@ -376,11 +381,10 @@
     }
 
     // ---- what is logged ----
-    /// One line on a request that ends badly, with all that became of it. The client's name for it is cut and made
-    /// harmless: anyone may have chosen it.
+    /// One line on a request that ends badly, with all that became of it.
     fn log_given_up(&self, entry: &Entry, answer: &str, reason: Reason) {
         let ms = |d: Duration| d.as_secs_f64() * 1e3;
-        let id = entry.id[..entry.id.len().min(64)].escape_ascii();
+        let id = printable(&entry.id);
         let mut line = format!(
             "request id={id} tenant={} answer={answer} reason={reason:?} read_ms={:.2} age_ms={:.2} left_ms={:.0}",
             entry.tenant,
@@ -411,7 +415,7 @@
         let (clients, open) = (c.accepted, self.backends.connections());
         let mut line = format!(
             "stats s={:.1} requests={} served={} refused={} failed={} gone={} unlogged={} in_hand={} attempts={} \
-             attempts_failed={} accepted={clients} told_to_close={} upstream_new={} upstream_open={open} shed={:.3} \
+             errors={} turned_away={} timed_out={} unreachable={} broken={} unsent={} accepted={clients} told_to_close={} upstream_new={} upstream_open={open} shed={:.3} \
              load={:.2} latency_ms={:.1} retry_budget={:.1}",
             time.as_secs_f64(),
             c.requests,
@@ -422,7 +426,12 @@
             c.suppressed,
             state.ledger.len(),
             c.attempts,
-            c.attempts_failed,
+            c.errors,
+            c.turned_away,
+            c.timed_out,
+            c.unreachable,
+            c.broken,
+            c.unsent,
             c.told_to_close,
             c.connects,
             view.shed,
@@ -453,6 +462,7 @@
         let Some(backend) = backend else {
             let (outcome, latency, closed) = (Outcome::NotSent, Duration::ZERO, entry.reply.is_none());
             let end = Some((outcome, latency, None));
+            self.stats.count(|c| c.ended(outcome));
             entry.attempts.push(Attempt { server, began, may_have_run: false, end, task: None });
             let report = None;
             let ended = Ended { request, attempt, server, outcome, latency, closed, report };
@@ -524,6 +534,11 @@
     }
 }
 
+/// A client's name for a request, cut and made harmless: anyone may have chosen it.
+fn printable(id: &[u8]) -> impl fmt::Display + '_ {
+    id[..id.len().min(64)].escape_ascii()
+}
+
 /// A request that the engine has taken.
 pub struct Taken {
     engine: Option<Rc<Engine>>,
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -1,6 +1,6 @@
 //! What the node counts for its log, and how much it says of single requests.
 
-use finchvale::Reason;
+use finchvale::{Outcome, Reason};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -31,25 +31,56 @@
     pub gone: u64,
     /// Attempts begun.
     pub attempts: u64,
-    /// Attempts that no server answered with success.
-    pub attempts_failed: u64,
+    /// Of these: answered with an error ...
+    pub errors: u64,
+    /// ... turned away unseen ...
+    pub turned_away: u64,
+    /// ... not answered in time ...
+    pub timed_out: u64,
+    /// ... without a connection ...
+    pub unreachable: u64,
+    /// ... on a connection that broke ...
+    pub broken: u64,
+    /// ... withdrawn, or not sent for the node's own reasons.
+    pub unsent: u64,
     /// Upstream connections opened.
     pub connects: u64,
     /// Requests given up that were not written one by one.
     pub suppressed: u64,
 }
 
+impl Counts {
+    /// Counts the end of an attempt.
+    pub fn ended(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Served => {}
+            Outcome::Error => self.errors += 1,
+            Outcome::TurnedAway => self.turned_away += 1,
+            Outcome::TimedOut => self.timed_out += 1,
+            Outcome::Unreachable => self.unreachable += 1,
+            Outcome::Broken => self.broken += 1,
+            Outcome::Cancelled | Outcome::NotSent => self.unsent += 1,
+        }
+    }
+}
+
 /// Counters for the log.
 pub struct Stats {
     counts: Cell<Counts>,
     since: Cell<Instant>,
     single: RefCell<FxHashMap<Reason, u32>>,
+    broken: Cell<u32>,
 }
 
 impl Stats {
     /// All zero.
     pub fn new() -> Self {
-        Stats { counts: Cell::default(), since: Cell::new(Instant::now()), single: RefCell::default() }
+        Stats {
+            counts: Cell::default(),
+            since: Cell::new(Instant::now()),
+            single: RefCell::default(),
+            broken: Cell::new(0),
+        }
     }
 
     /// Changes a counter.
@@ -71,9 +102,15 @@
         false
     }
 
+    /// Whether one more broken answer may be written by itself.
+    pub fn single_broken(&self) -> bool {
+        self.broken.replace(self.broken.get().saturating_add(1)) < MOST_SINGLE
+    }
+
     /// The counters and their time, which start again from zero. None: nothing happened.
     pub fn take(&self) -> Option<(Counts, Duration)> {
         self.single.borrow_mut().clear();
+        self.broken.set(0);
         let time = self.since.replace(Instant::now()).elapsed();
         let counts = self.counts.take();
         (counts.requests + counts.accepted + counts.attempts > 0).then_some((counts, time))
