Price a broken answer by the part of its server's answers that fail

Evidence: the counters of the balancer and the new ones of the attempts. Prices rose from 0 to 9 in 20 s, and servers with a load of 0.3 cost 2.7 where one with 1.88 cost 2.3. They are rightly counted as attempts that failed. But each of them added a price of 0.5, which closes a server, and dropped its load report; 10 a second over 10 servers are the 0.45 a second by which prices rose. Which server was closed was chance; the rest took its load, became full, turned attempts away, and these shed arrivals.

At fault: src/logic.rs:308-315, FAILED_PRICE for each failure, and the load forgotten. An Error or Broken now costs by the part of the server's last 16 answers that failed; one that fails on and on is closed as before. No connection or no answer at all still costs the whole price.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,8 @@
 pub(crate) const REPORT_LIFE: f64 = 0.5; // s for which a report moves the price, where reports are frequent
 const REPORT_LONGEST: f64 = 4.0; // the same where they are rare: the mean time between them, at most this
 const DRIFT: f64 = 6.0; // s in which an unreported price drifts to the going one, a speed to the mean
-const FAILED_PRICE: f64 = 0.5; // price of one failure: it closes a server of mean price and speed
+const FAILED_PRICE: f64 = 0.5; // price of one failure: it closes a server of mean price and speed ...
+const FAILURES: f64 = 16.0; // ... by the part of so many answers that failed: a sound server errs too
 const OWN: f64 = 0.5; // price of own attempts out at a server, relative to those usual there
 const PRICE_MOST: f64 = 1.0; // above the going price: so that no server is avoided for long
 const FLOOR: f64 = 0.1; // least price + lambda: keeps failing servers nearly closed when bounds leave no room
@@ -291,7 +292,9 @@
         let latency = latency.max(1e-6);
         // A quantile, not a mean: answers of servers in trouble must not pass for usual.
         self.latency *= if latency > self.latency { 1.012 } else { 0.992 };
-        if let (Some(&i), false) = (self.index.get(&server), self.settings.reports_rate) {
+        let Some(&i) = self.index.get(&server) else { return };
+        self.servers[i].note_answer(false, FAILURES);
+        if !self.settings.reports_rate {
             self.servers[i].learn(now, 1.0 / latency, MEMORY);
         }
     }
@@ -302,10 +305,16 @@
         self.step(i, now);
         let s = &mut self.servers[i];
         let full = self.blind && outcome == Outcome::TurnedAway;
+        let answer = matches!(outcome, Outcome::Error | Outcome::Broken);
+        let failing = if answer { s.note_answer(true, FAILURES) } else { 1.0 };
         if !full {
-            s.price = (s.price + FAILED_PRICE).min(self.going_price + PRICE_MOST);
+            s.price = (s.price + FAILED_PRICE * failing).min(self.going_price + PRICE_MOST);
             self.solved = None;
         }
+        // One that answers well for the most part goes on by its load.
+        if failing < 0.5 {
+            return;
+        }
         let spent = full || self.blind && outcome == Outcome::TimedOut;
         s.load = spent.then(|| s.load.unwrap_or(0.0).max(1.0 + EXCESS));
         s.reported = if spent { now } else { s.reported };
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -223,6 +223,30 @@
     assert!(share(&b, 0, 2) < 0.2 * before, "{:?}", b.markets[0].shares);
 }
 
+/// Incident inc3826: three answers in a hundred could not be read, at every server, and each closed its server for
+/// seconds, while the others were crowded. A server is as dear as the part of its answers that fail.
+#[test]
+fn a_rare_broken_answer_does_not_close_its_server() {
+    let mut b = balancer(4);
+    for k in 0..100u64 {
+        for s in 0..4 {
+            b.report(at(k), ServerId(s), &report(0.5, 10.0));
+            b.answered(at(k), ServerId(s), 0.05);
+        }
+    }
+    b.solve(at(150));
+    let before = share(&b, 0, 2);
+    b.failed(at(160), ServerId(2), Outcome::Broken);
+    b.solve(at(220));
+    assert!(share(&b, 0, 2) > 0.8 * before, "{:?}", b.markets[0].shares);
+    assert!(b.servers[b.index[&ServerId(2)]].load.is_some(), "its load still counts");
+    for _ in 0..8 {
+        b.failed(at(230), ServerId(2), Outcome::Broken);
+    }
+    b.solve(at(300));
+    assert!(share(&b, 0, 2) < 0.2 * before, "failing on and on closes it: {:?}", b.markets[0].shares);
+}
+
 /// A hung server reports nothing: its oldest unanswered send makes it dear.
 #[test]
 fn hung_server_grows_dear_and_comes_back() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,8 @@
     pub evidence: f64,
     /// When the last of them came.
     pub answered: Time,
+    /// Part of its latest answers that failed, and how many it is of.
+    pub failing: (f64, f64),
     /// Part of this node's sends that went there of late, up to a factor.
     pub share: f64,
     /// When this node last had a connection to it.
@@ -100,6 +102,7 @@
             speed: 0.0,
             evidence: 0.0,
             answered: now,
+            failing: (0.0, 0.0),
             share: 0.0,
             connected: None,
             out: Vec::new(),
@@ -121,6 +124,14 @@
         self.connected.is_some_and(|at| now < at + idle)
     }
 
+    /// Counts an answer among the latest few and returns the part of them that failed.
+    pub(crate) fn note_answer(&mut self, failed: bool, memory: f64) -> f64 {
+        let (part, count) = &mut self.failing;
+        *count = (*count + 1.0).min(memory);
+        *part += (f64::from(u8::from(failed)) - *part) / *count;
+        *part
+    }
+
     pub(crate) fn learn(&mut self, now: Time, sample: f64, memory: f64) {
         self.evidence = (self.evidence + 1.0).min(memory);
         self.speed += (sample - self.speed) / self.evidence;
