Solve shares anew after a few own sends, not only once in a tick

A node sends 325 requests a second, 16 in a tick of 50 ms, and all 16 were drawn from shares that knew only what was out before the first.

At fault: src/logic.rs:120-123, solve() returns within a tick whatever was sent. Prices still step by ticks; shares are solved again after a fifth of a send for each ready server where a node goes by its own attempts out. The smoothing of past shares now goes by time, not by the number of solutions.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,7 @@
 
 // Prices. Seconds are s, loads are in capacities, prices and speeds relative to the fleet's mean.
 const TICK: f64 = 0.05; // s between price steps: well under the age of any report, finer changes nothing
+const STALE: f64 = 0.2; // own sends for each ready server after which shares are solved anew within a tick
 const STEP: f64 = 0.15; // price per s and unit of excess load (ν): well damped at a second's delay
 const LOAD_FACTOR: f64 = 0.7; // part of its capacity a server advertises (ρ); lower in an idle fleet
 pub(crate) const REPORT_LIFE: f64 = 0.5; // s for which a report moves the price, where reports are frequent
@@ -115,13 +116,16 @@
         s.price += (self.going_price - s.price) * ((ticks * TICK - live) / DRIFT).min(1.0);
     }
 
-    /// Brings prices and shares up to date once a tick, when a draw is due.
+    /// Brings prices and shares up to date when a draw is due: once a tick, or after a few own sends.
     fn solve(&mut self, now: Time) {
         let dt = self.solved.map_or(TICK, |at| (now - at).as_secs_f64());
-        if dt < TICK || self.ready.is_empty() {
+        // What a node has out itself changes with each send: shares that rest on it are soon stale.
+        let stale = self.blind && self.sent_since > STALE * self.ready.len() as f64;
+        if (dt < TICK && !stale) || self.ready.is_empty() {
             return;
         }
         self.solved = Some(now);
+        self.sent_since = 0.0;
         self.refused *= 1.0 - (dt / RECOVER).min(1.0);
         let n = self.ready.len() as f64;
         let [mut price, mut load, mut loads, mut speed, mut speeds, mut weight] = [0.0; 6];
@@ -210,7 +214,8 @@
             let flow = self.markets[c].steady.young(now);
             open.truncate((NEWS * flow).max(LEAST_OPEN).ceil() as usize);
         }
-        self.ready.iter().for_each(|&i| self.servers[i].share *= 0.95);
+        let kept = 0.95f64.powf(dt / TICK);
+        self.ready.iter().for_each(|&i| self.servers[i].share *= kept);
         let (mut going, mut sums) = (0.0, vec![(0.0, 0.0); flows.len()]);
         for (c, open) in open.iter().enumerate() {
             let m = &mut self.markets[c];
@@ -227,7 +232,7 @@
             let part = flows[c] / asked;
             for (k, share) in open.iter().zip(&shares) {
                 m.shares[*k] = *share;
-                self.servers[self.ready[*k]].share += part * share / m.open;
+                self.servers[self.ready[*k]].share += part * share / m.open * dt / TICK;
                 going += part * self.servers[self.ready[*k]].price * share / m.open;
             }
             let leader = &mut sums[m.leader];
@@ -462,6 +467,7 @@
         s.out.push(now);
         s.held = s.held.map(|held| held + 1.0);
         self.sends.add(now, 1.0);
+        self.sent_since += 1.0;
         self.markets[usize::from(r.class.0)].steady.add(now, 1.0);
         let (server, zone, cell) = (s.id, s.zone, s.cell);
         r.attempts.push(Attempt { server, zone, cell, sent: now, ended: false, may_have_run: false, fresh });
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -617,6 +617,24 @@
     assert!(share(&b, 0, held.0) < 0.7 * before, "{} from {before}", share(&b, 0, held.0));
 }
 
+/// Incident inc3539: shares were solved once in 50 ms, in which a node sends a dozen requests and more, and all of them
+/// followed what it had out before the first: they filled one server, while others idled.
+#[test]
+fn requests_of_one_tick_do_not_gather_on_one_server() {
+    let mut b = blind();
+    b.handle(at(0), list(8), &mut vec![]);
+    for k in 0..100 {
+        let server = sent(&mut b, at(50 * k), k).expect("sent");
+        b.handle(at(50 * k), ended(k, 0, server, Outcome::Served, None), &mut vec![]);
+    }
+    let cheap = b.ready[0];
+    b.ready[1..].iter().for_each(|&i| b.servers[i].price = b.servers[cheap].price + 0.6);
+    for k in 0..20 {
+        sent(&mut b, at(5000), 100 + k);
+    }
+    assert!((2..=8).contains(&b.servers[cheap].out.len()), "{} of 20", b.servers[cheap].out.len());
+}
+
 /// Incident ia21743: new connections failed, open ones served on, and servers that nobody reached looked idle to
 /// probes. A server without an open connection is dearer, and later, by how often new ones fail.
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -276,6 +276,8 @@
     pub(crate) mean_load: f64,
     pub(crate) mean_speed: f64,
     pub(crate) solved: Option<Time>,
+    /// Sends since shares were solved.
+    pub(crate) sent_since: f64,
     pub(crate) requests: FxHashMap<RequestId, Request>,
     pub(crate) choosing: Vec<(RequestId, TimerId)>,
     pub(crate) next_timer: u32,
@@ -317,6 +319,7 @@
             mean_load: 0.0,
             mean_speed: 1.0,
             solved: None,
+            sent_since: 0.0,
             requests: FxHashMap::default(),
             choosing: Vec::new(),
             next_timer: 0,
