--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use finchvale::{
     Action, Arrival, Balancer, Class, ClassId, Effect, Ended, Event, ListKind, LoadReport, Outcome, Probed,
-    Reason, RequestId, ServerId, Settings, SettingsError, TenantId, Time,
+    Reason, RequestId, ServerId, ServerState, Settings, SettingsError, TenantId, Time,
 };
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -249,6 +249,17 @@
         self.lists_taken.set(self.lists_taken.get() + 1);
         self.moved.set(self.moved.get() && !list.complete);
         let entries = self.take_list(list);
+        // Logged where it says anything: discovery may send lists of no change.
+        if !entries.is_empty() {
+            let count = |state| entries.iter().filter(|e| e.state == state).count();
+            self.log(format_args!(
+                "list revision={} kind={kind:?} ready={} draining={} gone={}",
+                list.revision,
+                count(ServerState::Ready),
+                count(ServerState::Draining),
+                count(ServerState::Gone)
+            ));
+        }
         self.feed(Event::List { kind, entries });
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -68,10 +68,28 @@
         connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
         conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
     };
+    let classes = config.site.names.classes.iter().zip(&settings.classes);
+    let classes: Vec<String> = classes
+        .map(|(name, c)| {
+            format!("{}:aim_ms={}:deadline_ms={}", name.escape_debug(), ms(c.aim), ms(c.deadline))
+        })
+        .collect();
+    let figures = format!(
+        "settings nodes={} warm_up_ms={} drain_grace_ms={} conn_idle_ms={} max_retry_after_ms={} clients={clients} \
+         upstream={} {}",
+        settings.nodes,
+        ms(settings.rules.warm_up),
+        ms(settings.rules.drain_grace),
+        ms(settings.conn_idle),
+        ms(settings.max_wait.unwrap_or_default()),
+        limits.connections,
+        classes.join(" ")
+    );
     let backends = Rc::new(Backends::new(limits, config.site.names, config.site.fields));
     let engine = Engine::new(config.name, settings, config.seed, backends.clone(), config.discovery)?;
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     engine.log(format_args!("listening on {}", listener.local_addr()?));
+    engine.log(format_args!("{figures}"));
     engine.known(config.known.as_ref());
     engine.follow();
     let reloading = engine.clone();
@@ -117,6 +135,10 @@
     }
 }
 
+fn ms(time: Duration) -> u128 {
+    time.as_millis()
+}
+
 fn or(figure: Duration, otherwise: Duration) -> Duration {
     if figure.is_zero() {
         otherwise
