--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -252,8 +252,10 @@
         // Logged where it says anything: discovery may send lists of no change.
         if !entries.is_empty() {
             let count = |state| entries.iter().filter(|e| e.state == state).count();
+            let youngest = entries.iter().filter_map(|e| e.started).max();
+            let age = youngest.map_or(f64::NAN, |at| (self.clock.now() - at).as_secs_f64());
             self.log(format_args!(
-                "list revision={} kind={kind:?} ready={} draining={} gone={}",
+                "list revision={} kind={kind:?} youngest_s={age:.1} ready={} draining={} gone={}",
                 list.revision,
                 count(ServerState::Ready),
                 count(ServerState::Draining),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -75,9 +75,11 @@
         })
         .collect();
     let figures = format!(
-        "settings nodes={} warm_up_ms={} drain_grace_ms={} conn_idle_ms={} max_retry_after_ms={} clients={clients} \
+        "settings nodes={} cold_from={} fall_multiple={} warm_up_ms={} drain_grace_ms={} conn_idle_ms={} max_retry_after_ms={} clients={clients} \
          upstream={} {}",
         settings.nodes,
+        settings.rules.cold_from,
+        settings.rules.fall_multiple,
         ms(settings.rules.warm_up),
         ms(settings.rules.drain_grace),
         ms(settings.conn_idle),
