--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -553,6 +553,26 @@
     assert!(shed(30.0) > 0.5, "a queue as long as the aim is an overload");
 }
 
+/// Incident inc5571: with 0.85 as the most, half of the tries were shed by servers that turned nobody away and answered in
+/// time. Arrivals are shed where busy part and wait together are more than a whole capacity.
+#[test]
+fn busy_servers_that_answer_in_time_shed_nothing() {
+    let shed = |busy: f64, waiting: f64| {
+        let mut b = blind();
+        b.latency = 0.05;
+        for k in 0..200 {
+            let now = at(20 * k);
+            let Some(server) = sent(&mut b, now, k) else { continue };
+            let report = Some(LoadReport { waiting: Some(waiting), ..report(busy, 0.0) });
+            let end = Ended { latency: ms(50), report, ..plain_end(k, server, Outcome::Served) };
+            b.handle(now, Event::Ended(end), &mut vec![]);
+        }
+        b.markets[0].refused
+    };
+    assert_eq!(shed(0.95, 0.0), 0.0);
+    assert!(shed(1.0, 4.0) > 0.3, "saturated and half the aim of waiting: {}", shed(1.0, 4.0));
+}
+
 /// Incident inc3826: cores seen busy for one short report counted as half as much again, though the same report said
 /// that nothing waited. The guess is for reports that don't tell.
 #[test]
