Tell refused clients to come back within the aim, not after the longest wait

Evidence: the settings line of the node: aim_ms=150, deadline_ms=840, max_retry_after_ms=1200. Given-up lines show left_ms=818 at a refusal that carries Retry-After 1.200: a client that keeps to it is told to return 0.4 s after its own time is over, and 1 s after its answer would count.

Ruled out: holding the answer back (not accepted, and nothing is held: refusals leave 0.01 ms after the request is read), no advice at all (the settings allow it, and tries at once add to the load that they were refused for).

At fault: src/logic.rs:537, max_wait handed on as the advice; it is the longest that a client would follow. The advice is now the shed part of the aim, at least a usual answer's time and at most max_wait.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -529,12 +529,18 @@
     fn finish(&mut self, id: RequestId, reason: Reason, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| r.open && !r.begun) else { return };
         r.open = false;
+        let class = usize::from(r.class.0);
         let harmless = match self.settings.classes[usize::from(r.class.0)].effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             _ => !r.attempts.iter().any(Attempt::risky),
         };
+        // Back once a place is free and while its answer still counts, the later the more is shed.
+        let shed = self.markets[self.markets[class].leader].refused;
+        let back = self.settings.classes[class].aim.mul_f64(shed);
+        let back = back.max(Duration::from_secs_f64(self.latency));
+        let wait = self.settings.max_wait.map(|most| most.min(back));
         actions.push(match harmless {
-            true => Action::Refuse { request: id, wait: self.settings.max_wait, reason },
+            true => Action::Refuse { request: id, wait, reason },
             false => Action::Fail { request: id, reason },
         });
         self.forget(id);
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -573,6 +573,30 @@
     assert!(shed(1.0, 4.0) > 0.3, "saturated and half the aim of waiting: {}", shed(1.0, 4.0));
 }
 
+/// Incident inc5571: refused clients were told to wait 1.2 s, the longest that any would, where an answer counts for
+/// 150 ms and the client itself waits for 840 ms: those that kept to it came back for nothing.
+#[test]
+fn refused_clients_are_told_to_come_back_in_time() {
+    let advised = |shed: f64, max_wait| {
+        let mut b = blind();
+        (b.settings.max_wait, b.latency) = (max_wait, 0.05);
+        for k in 0..100 {
+            b.markets[0].refused = shed;
+            let mut actions = vec![];
+            b.handle(at(20 * k), arrival(k, 0), &mut actions);
+            if let Some(Action::Refuse { wait, .. }) = actions.pop() {
+                return wait;
+            }
+        }
+        unreachable!("something is refused")
+    };
+    let (light, heavy) = (advised(0.2, Some(ms(1000))), advised(0.9, Some(ms(1000))));
+    let aim = blind().settings.classes[0].aim;
+    assert!(Some(ms(50)) <= light && light < heavy && heavy <= Some(aim), "{light:?} {heavy:?}");
+    assert_eq!(advised(0.9, Some(ms(100))), Some(ms(100)), "no longer than the site has it");
+    assert_eq!(advised(0.9, None), None);
+}
+
 /// Incident inc3826: cores seen busy for one short report counted as half as much again, though the same report said
 /// that nothing waited. The guess is for reports that don't tell.
 #[test]
