--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -111,6 +111,8 @@
     /// The clients' names for what is in the ledger. Clients choose them, hence the hasher with a secret.
     ids: HashSet<Box<[u8]>>,
     next_request: u64,
+    /// Attempts at each server since the counters were last written, and how many of them it turned away.
+    sent: FxHashMap<ServerId, (u32, u32)>,
     /// The watch, or the task that keeps one open.
     watch: Option<AbortHandle>,
 }
@@ -159,6 +161,7 @@
             ledger: FxHashMap::default(),
             ids: HashSet::new(),
             next_request: 0,
+            sent: FxHashMap::default(),
             watch: None,
         };
         Ok(Rc::new_cyclic(|me| Engine {
@@ -317,6 +320,9 @@
         let (server, latency) = (a.server, a.began.elapsed());
         a.end = Some((exchange.outcome, latency, exchange.report));
         self.stats.count(|c| c.ended(exchange.outcome));
+        let full = u32::from(exchange.outcome == Outcome::TurnedAway);
+        state.sent.entry(server).or_default().1 += full;
+        let Some(entry) = state.ledger.get_mut(&request) else { return };
         if let Some(problem) = exchange.problem.take().filter(|_| self.stats.single_broken()) {
             let id = printable(&entry.id);
             let ms = latency.as_secs_f64() * 1e3;
@@ -423,7 +429,8 @@
     /// The counters since they were last written, and what the balancer goes by.
     pub fn log_stats(&self) {
         let Some((c, time)) = self.stats.take() else { return };
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
+        let sent = std::mem::take(&mut state.sent);
         let view = state.balancer.view(self.clock.now());
         let (clients, open) = (c.accepted, self.backends.connections());
         let mut line = format!(
@@ -457,10 +464,11 @@
         }
         for s in &view.servers {
             let load = s.load.unwrap_or(f64::NAN);
+            let (sent, full) = sent.get(&s.server).copied().unwrap_or_default();
             let _ = write!(
                 line,
-                " {}:price={:.2},load={load:.2},warm={:.2},speed={:.2},share={:.2},out={}",
-                s.server, s.price, s.warmth, s.speed, s.share, s.out
+                " {}:weight={:.2},price={:.2},load={load:.2},warm={:.2},speed={:.2},share={:.2},out={},sent={sent},full={full}",
+                s.server, s.weight, s.price, s.warmth, s.speed, s.share, s.out
             );
         }
         drop(state);
@@ -496,6 +504,7 @@
             }
         });
         self.stats.count(|c| c.attempts += 1);
+        state.sent.entry(server).or_default().0 += 1;
         let task = Some(task.abort_handle());
         entry.attempts.push(Attempt { server, began, may_have_run: true, end: None, task });
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -455,6 +455,8 @@
 pub struct ServerView {
     /// The server.
     pub server: ServerId,
+    /// Its weight by the list.
+    pub weight: f64,
     /// Its price, relative to the fleet.
     pub price: f64,
     /// Its load as last heard.
--- a/src/state.rs
+++ b/src/state.rs
@@ -458,7 +458,7 @@
             let speed = if s.evidence > 0.0 { s.speed / self.mean_speed } else { 1.0 };
             let share = shares.get(k).copied().unwrap_or(0.0);
             let (load, out, warmth) = (s.load, s.out.len(), s.warmth(&self.settings.rules, now));
-            ServerView { server: s.id, price: s.price, load, warmth, speed, share, out }
+            ServerView { server: s.id, weight: s.weight, price: s.price, load, warmth, speed, share, out }
         });
         View {
             shed: self.markets.first().map_or(0.0, |m| m.refused),
