Value a server by its weight times the pace of its machine kind's answers

Cause. src/logic.rs:162: where the list gives weights, the speed is the weight alone, and here the weight is the number of cores. Learning by server (src/logic.rs:303) could not have helped: a node meets a single server once in four seconds, and an answer's time tells of its request's work as much as of its server. Now the speed is the weight times work over time of the answers, a server's own beside those of its kind, which a node meets five times a second. Answers of cold servers don't count for the kind.

Ruled out: the prices alone (0.02 to 0.05 at nearly all servers after 5 s, so they had moved nothing yet), and the lists (every node held the same 60 servers).

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -465,9 +465,10 @@
         for s in &view.servers {
             let load = s.load.unwrap_or(f64::NAN);
             let (sent, full) = sent.get(&s.server).copied().unwrap_or_default();
+            let (util, queue) = (s.report.busy.unwrap_or(f64::NAN), s.report.waiting.unwrap_or(f64::NAN));
             let _ = write!(
                 line,
-                " {}:weight={:.2},price={:.2},load={load:.2},warm={:.2},speed={:.2},share={:.2},out={},sent={sent},full={full}",
+                " {}:weight={:.2},price={:.2},load={load:.2},util={util:.2},queue={queue:.2},warm={:.2},speed={:.2},share={:.2},out={},sent={sent},full={full}",
                 s.server, s.weight, s.price, s.warmth, s.speed, s.share, s.out
             );
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -461,6 +461,8 @@
     pub price: f64,
     /// Its load as last heard.
     pub load: Option<f64>,
+    /// Its latest report.
+    pub report: LoadReport,
     /// Part of its capacity that it has by now, at least.
     pub warmth: f64,
     /// Its speed, relative to the fleet's mean.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,8 +27,10 @@
 const SATURATED: f64 = 0.85; // busy part above which a report says only "at least" ...
 const EXCESS: f64 = 0.5; // ... and the load beyond it that all busy, full or timed out counts for
 const LEAST_BUSY: f64 = 0.05; // busy part from which a report tells capacity
-const MEMORY: f64 = 6.0; // latencies over which a speed is smoothed
-const PRIOR: [f64; 2] = [8.0, 0.3]; // trust in the mean speed, likewise
+const PRIOR: f64 = 8.0; // trust in the mean speed, in reports of capacity
+const MEMORY: f64 = 16.0; // answers over which a server's pace is smoothed ...
+const KIND_MEMORY: f64 = 64.0; // ... and that of a machine kind, which all its servers tell
+pub(crate) const KIND_PRIOR: f64 = 6.0; // trust in the kind's pace, in answers
 const NEWS: f64 = 1.0; // s in which a node wants to hear, by answers, of each server it deals with ...
 const LEAST_OPEN: f64 = 5.0; // ... and the fewest that it deals with for a class
 const ADMIT: f64 = 0.72; // part of its measured capacity that a server is asked for; reports miss the rest
@@ -60,7 +62,7 @@
             Event::Arrival(arrival) => self.arrival(now, &arrival, actions),
             Event::Begun { request, attempt, latency } => {
                 if let Some(server) = self.begun(request, attempt) {
-                    self.answered(now, server, latency.as_secs_f64());
+                    self.answered(now, server, latency.as_secs_f64(), None);
                 }
             }
             Event::Ended(end) => self.ended(now, &end, actions),
@@ -142,7 +144,9 @@
                 loads += trust;
             }
             if (now - s.answered).as_secs_f64() > DRIFT / 2.0 {
-                s.evidence *= 1.0 - (dt / DRIFT).min(1.0);
+                let kept = 1.0 - (dt / DRIFT).min(1.0);
+                s.evidence *= kept;
+                s.pace.count *= kept;
             }
             speed += s.speed * s.evidence;
             speeds += s.evidence;
@@ -153,16 +157,19 @@
         let flows: Vec<f64> = self.markets.iter_mut().map(|m| m.arrivals.add(now, 0.0)).collect();
         let asked = flows.iter().sum::<f64>().max(1e-9);
         let known = self.settings.reports_rate && speeds > 0.0;
-        let prior = PRIOR[usize::from(self.settings.reports_rate)];
+        let paces: f64 = self.ready.iter().map(|&i| self.pace(&self.servers[i], KIND_PRIOR)).sum();
+        self.mean_pace = paces / n;
         let own_price = if self.blind { OWN } else { 0.0 };
         let own = self.ready.iter().map(|&i| &self.servers[i]);
         let (out, shares) = own.fold((0.0, 1e-9), |sum, s| (sum.0 + s.out.len() as f64, sum.1 + s.share));
         let lines = self.ready.iter().map(|&i| {
             let s = &self.servers[i];
-            let speed = if self.settings.weights_given {
-                s.weight / weight
-            } else {
-                (s.speed / self.mean_speed * s.evidence + prior) / (s.evidence + prior)
+            // A weight tells a server's size, an answer the pace of one of its cores.
+            let speed = match (self.settings.weights_given, self.settings.reports_rate) {
+                (true, true) => s.weight / weight,
+                (true, false) => s.weight / weight * self.pace(s, KIND_PRIOR) / self.mean_pace,
+                (false, true) => (s.speed / self.mean_speed * s.evidence + PRIOR) / (s.evidence + PRIOR),
+                (false, false) => self.pace(s, KIND_PRIOR) / self.mean_pace,
             };
             // No node asks more of a server than its part of what that can do (the paper's local constraint,
             // eq. 10): else shares gather on one cheap server and break it.
@@ -271,6 +278,7 @@
         let aims = self.settings.classes.iter().map(|c| c.aim.as_secs_f64());
         let aim = aims.fold(f64::INFINITY, f64::min);
         let s = &mut self.servers[i];
+        s.report = *report;
         let waiting = usable(report.waiting).unwrap_or(0.0);
         let held = usable(report.held).filter(|_| report.waiting.is_none());
         // A count is no part of capacity: what waits counts by the part of the aim that it takes.
@@ -293,14 +301,21 @@
         }
     }
 
-    fn answered(&mut self, now: Time, server: ServerId, latency: f64) {
+    fn answered(&mut self, now: Time, server: ServerId, latency: f64, work: Option<f64>) {
         let latency = latency.max(1e-6);
         // A quantile, not a mean: answers of servers in trouble must not pass for usual.
         self.latency *= if latency > self.latency { 1.012 } else { 0.992 };
         let Some(&i) = self.index.get(&server) else { return };
-        self.servers[i].note_answer(false, FAILURES);
+        let s = &mut self.servers[i];
+        s.note_answer(false, FAILURES);
         if !self.settings.reports_rate {
-            self.servers[i].learn(now, 1.0 / latency, MEMORY);
+            let work = work.unwrap_or(if self.mean_work > 0.0 { self.mean_work } else { 1.0 });
+            s.pace.learn(work, latency, MEMORY);
+            s.answered = now;
+            // A cold server's answers tell its age, not its kind.
+            if s.warmth(&self.settings.rules, now) >= 1.0 {
+                self.kinds.entry(s.kind).or_default().learn(work, latency, KIND_MEMORY);
+            }
         }
     }
 
@@ -502,7 +517,7 @@
             self.weigh(now, class, load);
         }
         match end.outcome {
-            Outcome::Served if !streamed => self.answered(now, server, latency),
+            Outcome::Served if !streamed => self.answered(now, server, latency, work),
             Outcome::Served | Outcome::Cancelled | Outcome::NotSent => {}
             outcome => self.failed(now, server, outcome),
         }
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -231,7 +231,7 @@
     for k in 0..100u64 {
         for s in 0..4 {
             b.report(at(k), ServerId(s), &report(0.5, 10.0));
-            b.answered(at(k), ServerId(s), 0.05);
+            b.answered(at(k), ServerId(s), 0.05, None);
         }
     }
     b.solve(at(150));
@@ -247,6 +247,28 @@
     assert!(share(&b, 0, 2) < 0.2 * before, "failing on and on closes it: {:?}", b.markets[0].shares);
 }
 
+/// A large fleet, join+vast: the list gave every server the same weight, while the kinds differ three times in speed, and a
+/// node met a single server too seldom to learn it. What answers of a kind's other servers tell counts for it.
+#[test]
+fn a_server_never_met_is_valued_by_its_kind() {
+    let settings = Settings { weights_given: true, reports_rate: false, ..settings() };
+    let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+    b.handle(at(0), list(5), &mut vec![]);
+    // Kinds go by id modulo 3. One server of each of two is met, the second at three times the time for its work.
+    for k in 0..40u64 {
+        b.answered(at(k), ServerId(0), 0.02, Some(0.02));
+        b.answered(at(k), ServerId(1), 0.06, Some(0.02));
+    }
+    b.solve(at(100));
+    assert!(share(&b, 0, 4) < 0.7 * share(&b, 0, 3), "{:?}", b.markets[0].shares);
+    assert!((share(&b, 0, 0) / share(&b, 0, 3) - 1.0).abs() < 0.05, "{:?}", b.markets[0].shares);
+    // A heavy request's long answer does not tell of a slow server.
+    let before = share(&b, 0, 0);
+    (0..40).for_each(|_| b.answered(at(100), ServerId(0), 0.2, Some(0.2)));
+    b.solve(at(200));
+    assert!(share(&b, 0, 0) > 0.95 * before, "{:?}", b.markets[0].shares);
+}
+
 /// A hung server reports nothing: its oldest unanswered send makes it dear.
 #[test]
 fn hung_server_grows_dear_and_comes_back() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the decision module remembers: plain data, no decisions.
 
 use crate::interface::*;
-use crate::logic::{placed, PART_WINDOW, RATE_WINDOW, REPORT_LIFE, RETRY_MOST, TENANT_WINDOW};
+use crate::logic::{placed, KIND_PRIOR, PART_WINDOW, RATE_WINDOW, REPORT_LIFE, RETRY_MOST, TENANT_WINDOW};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
@@ -55,7 +55,9 @@
     pub price: f64,
     /// Prices are stepped up to here.
     pub stepped: Time,
-    /// Load by the latest report.
+    /// The latest report ...
+    pub report: LoadReport,
+    /// ... and the load by it, or by an attempt that met more.
     pub load: Option<f64>,
     /// When that report came.
     pub reported: Time,
@@ -65,6 +67,8 @@
     pub speed: f64,
     /// Samples that `speed` rests on.
     pub evidence: f64,
+    /// Work on a standard core and time of its latest answers, where no rates are reported.
+    pub pace: Pace,
     /// When the last of them came.
     pub answered: Time,
     /// Part of its latest answers that failed, and how many it is of.
@@ -96,11 +100,13 @@
             started: entry.started,
             price,
             stepped: now,
+            report: LoadReport::default(),
             load: None,
             reported: now,
             rate: 0.0,
             speed: 0.0,
             evidence: 0.0,
+            pace: Pace::default(),
             answered: now,
             failing: (0.0, 0.0),
             share: 0.0,
@@ -139,6 +145,27 @@
     }
 }
 
+/// How fast answers come for their work: means of both over the latest ones, so that long answers count by their length.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Pace {
+    work: f64,
+    time: f64,
+    pub count: f64,
+}
+
+impl Pace {
+    pub(crate) fn learn(&mut self, work: f64, time: f64, memory: f64) {
+        self.count = (self.count + 1.0).min(memory);
+        self.work += (work - self.work) / self.count;
+        self.time += (time - self.time) / self.count;
+    }
+
+    /// Work done a second, once anything is known.
+    pub(crate) fn speed(&self) -> Option<f64> {
+        (self.work > 0.0 && self.time > 0.0).then(|| self.work / self.time)
+    }
+}
+
 /// Mean requests held and busy part of servers that are not saturated.
 #[derive(Default)]
 pub(crate) struct UsualHeld {
@@ -275,6 +302,10 @@
     pub(crate) going_price: f64,
     pub(crate) mean_load: f64,
     pub(crate) mean_speed: f64,
+    /// Paces of the machine kinds, from the answers of their warm servers.
+    pub(crate) kinds: FxHashMap<KindId, Pace>,
+    /// Mean pace of the ready servers.
+    pub(crate) mean_pace: f64,
     pub(crate) solved: Option<Time>,
     /// Sends since shares were solved.
     pub(crate) sent_since: f64,
@@ -318,6 +349,8 @@
             going_price: 0.0,
             mean_load: 0.0,
             mean_speed: 1.0,
+            kinds: FxHashMap::default(),
+            mean_pace: 1.0,
             solved: None,
             sent_since: 0.0,
             requests: FxHashMap::default(),
@@ -371,6 +404,14 @@
         self.ready.sort_by_key(|&i| self.servers[i].rank);
     }
 
+    /// Pace expected of a server: its own answers', as far as there are any, beside those of its kind. A node of a large
+    /// fleet meets a single server seldom, its kind often.
+    pub(crate) fn pace(&self, s: &Server, prior: f64) -> f64 {
+        let kind = self.kinds.get(&s.kind).and_then(Pace::speed).unwrap_or(self.mean_pace);
+        let own = s.pace.speed().unwrap_or(kind);
+        (own * s.pace.count + kind * prior) / (s.pace.count + prior)
+    }
+
     /// Learns this node's part of all traffic from its own sends and the rates that servers report.
     pub(crate) fn learn_part(&mut self, now: Time, dt: f64) {
         let usual = self.mean_speed * self.mean_load.min(1.0);
@@ -455,10 +496,15 @@
         let shares = self.markets.first().map_or(&[][..], |m| &m.shares);
         let servers = self.ready.iter().enumerate().map(|(k, &i)| {
             let s = &self.servers[i];
-            let speed = if s.evidence > 0.0 { s.speed / self.mean_speed } else { 1.0 };
+            let speed = match self.settings.reports_rate {
+                true if s.evidence > 0.0 => s.speed / self.mean_speed,
+                true => 1.0,
+                false => self.pace(s, KIND_PRIOR) / self.mean_pace,
+            };
             let share = shares.get(k).copied().unwrap_or(0.0);
             let (load, out, warmth) = (s.load, s.out.len(), s.warmth(&self.settings.rules, now));
-            ServerView { server: s.id, weight: s.weight, price: s.price, load, warmth, speed, share, out }
+            let (server, weight, price, report) = (s.id, s.weight, s.price, s.report);
+            ServerView { server, weight, price, load, report, warmth, speed, share, out }
         });
         View {
             shed: self.markets.first().map_or(0.0, |m| m.refused),
