Bound a cold server's share by its own speed, up to what it can do by then

Cause. src/logic.rs:184: the share of a cold server is at most warmth x fall_multiple x 0.2 of the mean share, whatever its kind. That is 0.9 of what a slow kind can do by then and 0.36 of a fast kind's, and the rule allows three times. Kept so idle, its price falls to nothing, and it is rushed when the bound ends (servers back since 10 s: 40 to 55% turned away in 15 to 20 s). The bound now follows the server's speed, for which its kind speaks, to at most 1.5 times the mean, at 0.9 of the capacity that it has by then at least.

Ruled out: late lists (all nodes heard each change within 0.05 s of one another); nodes that do not deal with the new servers (19 to 30 of a hundred do, as with old ones).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,8 @@
 const RECOVER: f64 = 24.0; // s in which shedding drifts back by itself, for when nothing is sent
 const WORTH_MOST: f64 = 8.0; // times its class's worth that a request of a tenant in want counts for
 const WORTHS: usize = 64; // recent arrivals whose worths set the toll
-const COLD_PART: f64 = 0.2; // part of a cold server's budget that all nodes spend; the rest is for chance
+const COLD_PART: f64 = 0.3; // part of a cold server's budget that all nodes spend; the rest is for chance
+const FAST: f64 = 1.5; // times the mean speed that a cold server is trusted with at most
 const HEAVY_PART: f64 = 0.25; // part of it that one request may take
 const RETRY_EARN: f64 = 0.2; // further attempts that each request earns (retry budget) ...
 pub(crate) const RETRY_MOST: f64 = 10.0; // ... and the most saved up
@@ -179,10 +180,10 @@
                 most = ADMIT * capacity * self.part * n / asked;
             }
             // A cold server falls over when all nodes together rush it: its share stays within a part of
-            // what the rule allows it, measured by what a warm peer takes.
+            // what the rule allows it, measured by what a warm peer of its speed takes.
             let warmth = s.warmth(&self.settings.rules, now);
             if warmth < 1.0 {
-                most = most.min(warmth * self.settings.rules.fall_multiple * COLD_PART);
+                most = most.min(speed.min(FAST) * warmth * self.settings.rules.fall_multiple * COLD_PART);
             }
             // Reports lag; what this node itself has out beyond the usual is known at once.
             let usual = out * s.share / shares;
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -269,6 +269,27 @@
     assert!(share(&b, 0, 0) > 0.95 * before, "{:?}", b.markets[0].shares);
 }
 
+/// join+vast: eighteen of sixty servers came cold within seconds and idled at a fifth of their fellows' attempts, since the
+/// bound was the same for fast and slow. It follows a server's speed, and stays within what it can do by then.
+#[test]
+fn a_cold_servers_bound_follows_its_speed() {
+    let settings = Settings { weights_given: true, reports_rate: false, ..settings() };
+    let (fall, rules) = (settings.rules.fall_multiple, settings.rules.clone());
+    let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+    b.handle(at(0), list(5), &mut vec![]);
+    for k in 0..40u64 {
+        b.answered(at(k), ServerId(0), 0.02, Some(0.02));
+        b.answered(at(k), ServerId(1), 0.04, Some(0.02));
+    }
+    let entries = [3, 4].map(|s| entry(s, ServerState::Ready, Some(at(90)))).to_vec();
+    b.handle(at(100), Event::List { kind: ListKind::Changes, entries }, &mut vec![]);
+    (0..20).for_each(|k| b.handle(at(100 + 50 * k), arrival(k, 0), &mut vec![]));
+    let (fast, slow) = (share(&b, 0, 3), share(&b, 0, 4));
+    assert!(fast > 1.5 * slow && slow > 0.0, "{fast} and {slow}");
+    let warmth = b.servers[b.index[&ServerId(3)]].warmth(&rules, at(1050));
+    assert!(fast <= FAST * warmth * 1.01 && fast < 0.5 * fall * warmth, "{fast} at {warmth}");
+}
+
 /// A hung server reports nothing: its oldest unanswered send makes it dear.
 #[test]
 fn hung_server_grows_dear_and_comes_back() {
