Add the operators' console: maintenance of backends, drain, and health of the process

The calls only move states and start times of backends; the module gets them as changes of the list and decides as ever. A backend that is called back counts as started at the call, also when a later list gives an older start. console::SOCKETS descriptors are set aside where a console is configured, and none where it isn't.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -15,6 +15,7 @@
 use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, Visitor};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
 use std::fmt;
 use std::net::SocketAddr;
@@ -38,8 +39,12 @@
     pub id: ServerId,
     name: String,
     address: Cell<SocketAddr>,
+    /// By the list ...
+    listed: Cell<ServerState>,
+    /// ... and by the operators' word on top of that.
     state: Cell<ServerState>,
     started: Cell<Option<Time>>,
+    weight: Cell<f64>,
     /// Grows whenever the connections made so far are of no more use.
     generation: Cell<u64>,
     /// The most recently used one is last.
@@ -53,6 +58,19 @@
         self.state.get() == ServerState::Ready
     }
 
+    fn entry(&self) -> ServerEntry {
+        let (zone, kind, cell) = self.place.get();
+        ServerEntry {
+            server: self.id,
+            zone,
+            kind,
+            cell: finchvale::CellId(cell),
+            state: self.state.get(),
+            weight: self.weight.get(),
+            started: self.started.get(),
+        }
+    }
+
     fn abandon_connections(&self) {
         self.generation.set(self.generation.get() + 1);
         self.idle.borrow_mut().clear();
@@ -142,6 +160,17 @@
     pub connect_timeout: Duration,
     /// After this a server closes an idle connection.
     pub conn_idle: Duration,
+    /// By this time after its start a server is warm.
+    pub warm_up: Duration,
+}
+
+/// What operators have said of backends, by name. It outlives what lists say of them.
+#[derive(Default)]
+struct Maintenance {
+    /// Left out until they are called back.
+    out: BTreeSet<String>,
+    /// When backends were last called back: for the rules they have just started.
+    returned: BTreeMap<String, Time>,
 }
 
 /// All servers and the connections to them.
@@ -153,6 +182,7 @@
     by_name: RefCell<FxHashMap<String, Rc<Server>>>,
     by_id: RefCell<FxHashMap<ServerId, Rc<Server>>>,
     next_id: Cell<u32>,
+    maintenance: RefCell<Maintenance>,
     stats: Rc<Stats>,
 }
 
@@ -172,6 +202,7 @@
             by_name: RefCell::default(),
             by_id: RefCell::default(),
             next_id: Cell::new(0),
+            maintenance: RefCell::default(),
             stats: Rc::new(Stats::new()),
         }
     }
@@ -201,6 +232,7 @@
     pub fn take_list(&self, list: &ServerList) -> Vec<ServerEntry> {
         let mut by_name = self.by_name.borrow_mut();
         let mut by_id = self.by_id.borrow_mut();
+        let maintenance = self.maintenance.borrow();
         if list.complete {
             let named: rustc_hash::FxHashSet<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
             by_name.retain(|name, server| {
@@ -215,15 +247,21 @@
         }
         let mut entries = Vec::with_capacity(list.members.len());
         for member in &list.members {
-            let state = match member.phase {
+            let listed = match member.phase {
                 Phase::Active => ServerState::Ready,
                 Phase::Leaving => ServerState::Draining,
                 Phase::Left => ServerState::Gone,
             };
+            let state = match listed {
+                ServerState::Ready if maintenance.out.contains(&member.id) => ServerState::Draining,
+                listed => listed,
+            };
             // Mapping a start by the clocks' present difference would make every list look like a restart;
             // the balancer's clock counts in Unix time, so that no mapping is needed.
             let started =
                 (member.up_since_ms > 0).then(|| Time(member.up_since_ms.saturating_mul(1_000_000)));
+            // A list may tell of the restart in a maintenance late, or not at all.
+            let started = started.max(maintenance.returned.get(&member.id).copied());
             let server = match (by_name.get(&member.id), member.host_port) {
                 (Some(server), _) => server.clone(),
                 (None, Some(address)) if state != ServerState::Gone => {
@@ -233,8 +271,10 @@
                         id,
                         name: member.id.clone(),
                         address: Cell::new(address),
+                        listed: Cell::new(listed),
                         state: Cell::new(state),
                         started: Cell::new(started),
+                        weight: Cell::new(member.size),
                         generation: Cell::new(0),
                         idle: RefCell::default(),
                         place: Cell::default(),
@@ -245,7 +285,9 @@
                 }
                 _ => continue,
             };
+            server.listed.set(listed);
             server.state.set(state);
+            server.weight.set(member.size);
             if state == ServerState::Gone {
                 server.abandon_connections();
                 by_name.remove(&member.id);
@@ -264,20 +306,54 @@
                     server.abandon_connections();
                 }
             }
-            let (zone, kind, cell) = server.place.get();
-            entries.push(ServerEntry {
-                server: server.id,
-                zone,
-                kind,
-                cell: finchvale::CellId(cell),
-                state,
-                weight: member.size,
-                started: server.started.get(),
-            });
+            entries.push(server.entry());
         }
         entries
     }
 
+    // ---- maintenance ----
+    /// Leaves a backend out, whatever lists say, until it is called back. Says what changes for the balancer; None:
+    /// nobody has that name.
+    pub fn take_out(&self, name: &str) -> Option<Option<ServerEntry>> {
+        let out = &mut self.maintenance.borrow_mut().out;
+        let by_name = self.by_name.borrow();
+        let server = by_name.get(name);
+        if server.is_none() && !out.contains(name) {
+            return None;
+        }
+        out.insert(name.to_owned());
+        let changed = server.filter(|s| s.state.get() == ServerState::Ready).map(|server| {
+            server.state.set(ServerState::Draining);
+            server.abandon_connections();
+            server.entry()
+        });
+        Some(changed)
+    }
+
+    /// The same for a backend that is used again, as one that has started `now`.
+    pub fn call_back(&self, name: &str, now: Time) -> Option<Option<ServerEntry>> {
+        let mut maintenance = self.maintenance.borrow_mut();
+        let by_name = self.by_name.borrow();
+        let server = by_name.get(name);
+        if !maintenance.out.remove(name) {
+            return server.map(|_| None);
+        }
+        // Of those that no list names any more only the latest matter.
+        maintenance.returned.retain(|name, at| by_name.contains_key(name) || now - *at < self.limits.warm_up);
+        maintenance.returned.insert(name.to_owned(), now);
+        let changed = server.map(|server| {
+            server.started.set(server.started.get().max(Some(now)));
+            server.state.set(server.listed.get());
+            server.entry()
+        });
+        Some(changed)
+    }
+
+    /// How many backends are left out.
+    pub fn left_out(&self) -> usize {
+        self.maintenance.borrow().out.len()
+    }
+
     // ---- connections ----
     /// The most recently used idle connection that has been quiet since, or a new one.
     async fn checkout(&self, server: &Server) -> Result<Connection, Outcome> {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -70,6 +70,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub console: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// The file's word on that, which counts when the file is read again.
@@ -92,6 +94,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -149,6 +152,8 @@
         let listen = either("GW_LISTEN", "listen", address("listen", file.listen)?)?;
         let discovery_in_file = address("discovery", file.discovery)?;
         let discovery = either("GW_DISCOVERY", "discovery", discovery_in_file)?;
+        let console_in_file = address("console", file.console)?;
+        let console = address("GW_CONSOLE", variable("GW_CONSOLE"))?.or(console_in_file);
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Senseless {
             what: "seed",
             value: file.seed.clone(),
@@ -162,6 +167,7 @@
         Ok(Config {
             name: variable("GW_NAME").unwrap_or(file.name),
             listen,
+            console,
             discovery,
             discovery_in_file,
             seed,
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -268,6 +268,25 @@
         self.feed(Event::List { kind, entries });
     }
 
+    /// Leaves a backend out from now on. False: nobody has that name.
+    pub fn take_out(&self, name: &str) -> bool {
+        self.changed(self.backends.take_out(name))
+    }
+
+    /// Uses a backend again that was left out. False: nobody has that name.
+    pub fn call_back(&self, name: &str) -> bool {
+        self.changed(self.backends.call_back(name, self.clock.now()))
+    }
+
+    fn changed(&self, known: Option<Option<finchvale::ServerEntry>>) -> bool {
+        let kind = ListKind::Changes;
+        known
+            .iter()
+            .flatten()
+            .for_each(|entry| self.feed(Event::List { kind, entries: vec![entry.clone()] }));
+        known.is_some()
+    }
+
     fn take_list(&self, list: &ServerList) -> Vec<finchvale::ServerEntry> {
         self.revision.set(list.revision);
         let entries = self.backends.take_list(list);
@@ -435,7 +454,7 @@
         let (clients, open) = (c.accepted, self.backends.connections());
         let mut line = format!(
             "stats s={:.1} requests={} served={} refused={} failed={} gone={} unlogged={} in_hand={} attempts={} \
-             errors={} turned_away={} timed_out={} unreachable={} broken={} unsent={} accepted={clients} told_to_close={} upstream_new={} upstream_open={open} shed={:.3} \
+             errors={} turned_away={} timed_out={} unreachable={} broken={} unsent={} accepted={clients} told_to_close={} upstream_new={} upstream_open={open} left_out={} shed={:.3} \
              load={:.2} latency_ms={:.1} retry_budget={:.1}",
             time.as_secs_f64(),
             c.requests,
@@ -454,6 +473,7 @@
             c.unsent,
             c.told_to_close,
             c.connects,
+            self.backends.left_out(),
             view.shed,
             view.load,
             view.latency * 1e3,
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -59,7 +59,7 @@
 /// No client waits for longer.
 const LONGEST_WAIT: Duration = Duration::from_secs(3600);
 /// A failed `accept` is not tried again at once.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const TENANT: HeaderName = HeaderName::from_static("x-tenant-id");
@@ -83,6 +83,8 @@
 pub enum Phase {
     /// It serves.
     Serving,
+    /// It serves, and asks clients to go elsewhere until the drain ends.
+    Draining,
     /// It serves, and asks clients to go elsewhere next.
     Leaving,
     /// It takes no connections and finishes what it has.
@@ -156,12 +158,14 @@
     }
 
     /// Ends what has taken too long.
-    fn sweep(&self) {
+    fn sweep(&self, phase: Phase) {
         let (stage, age) = (self.stage.get(), self.age());
+        // In a drain each answer says to close: who is idle has been so since before.
+        let idle = if phase == Phase::Serving { IDLE } else { IDLE_LEAST };
         match stage {
             // Never one on which a request has come that was not read yet.
             Stage::New if age >= FIRST => self.leave(),
-            Stage::Idle if age >= IDLE && gate::quiet(&self.socket) => self.leave(),
+            Stage::Idle if age >= idle && gate::quiet(&self.socket) => self.leave(),
             Stage::Head if age >= FIRST => {
                 self.stage.set(Stage::Late);
                 self.wake.notify_one();
@@ -224,7 +228,8 @@
             let mut every = tokio::time::interval(SWEEP);
             loop {
                 every.tick().await;
-                sweeping.clients.borrow().values().for_each(|c| c.sweep());
+                let phase = *sweeping.phase.borrow();
+                sweeping.clients.borrow().values().for_each(|c| c.sweep(phase));
             }
         });
         let mut phase = self.phase.clone();
@@ -489,7 +494,7 @@
 }
 
 /// Reads what still comes, up to a bound.
-async fn discard(socket: &TcpStream) {
+pub async fn discard(socket: &TcpStream) {
     let (mut buffer, mut read) = ([0; 4096], 0);
     while read < MOST_LINGERING && socket.readable().await.is_ok() {
         match socket.try_read(&mut buffer) {
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -19,7 +19,7 @@
 /// Most that a body may hold, either way.
 pub const MOST_BODY: u64 = 64 << 10;
 /// Most that a head may hold, interim ones before it included.
-const MOST_HEAD: usize = 16 << 10;
+pub const MOST_HEAD: usize = 16 << 10;
 /// Most lines in a head.
 const MOST_HEADERS: usize = 100;
 /// Room made for one read.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod config;
+mod console;
 mod discovery;
 mod engine;
 mod frontend;
@@ -13,6 +14,7 @@
 
 use backend::Backends;
 use config::Config;
+use console::Console;
 use engine::Engine;
 use frontend::{Frontend, Phase};
 use std::error::Error;
@@ -61,12 +63,13 @@
     let effects = settings.classes.iter().map(|c| c.effect).collect();
     // Three quarters of memory are for requests; clients and backends share what descriptors there are. That is more
     // than the third that clients need for requests: the rest is for those that say nothing.
-    let clients =
-        ((config.sockets - RESERVED_SOCKETS) / 2).min(config.memory / 4 * 3 / REQUEST_MEMORY).max(1);
+    let reserved = RESERVED_SOCKETS + config.console.map_or(0, |_| console::SOCKETS);
+    let clients = ((config.sockets - reserved) / 2).min(config.memory / 4 * 3 / REQUEST_MEMORY).max(1);
     let limits = backend::Limits {
-        connections: config.sockets - RESERVED_SOCKETS - clients,
+        connections: config.sockets - reserved - clients,
         connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
         conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
+        warm_up: settings.rules.warm_up,
     };
     let classes = config.site.names.classes.iter().zip(&settings.classes);
     let classes: Vec<String> = classes
@@ -89,7 +92,9 @@
     );
     let backends = Rc::new(Backends::new(limits, config.site.names, config.site.fields));
     let engine = Engine::new(config.name, settings, config.seed, backends.clone(), config.discovery)?;
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let bound = |address| listen(address).map_err(|e| format!("cannot listen on {address}: {e}"));
+    let listener = bound(config.listen)?;
+    let calls = config.console.map(bound).transpose()?;
     engine.log(format_args!("listening on {}", listener.local_addr()?));
     engine.log(format_args!("{figures}"));
     engine.known(config.known.as_ref());
@@ -110,6 +115,11 @@
         }
     });
     let (phase, phases) = watch::channel(Phase::Serving);
+    let phase = Rc::new(phase);
+    if let Some(calls) = calls {
+        engine.log(format_args!("console at {}", calls.local_addr()?));
+        spawn_local(Console::new(engine.clone(), phase.clone()).serve(calls));
+    }
     let served = spawn_local(Frontend::new(engine.clone(), effects, clients as u32, phases).serve(listener));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -262,6 +262,8 @@
     child: Child,
     log: Option<BufReader<ChildStderr>>,
     pub address: SocketAddr,
+    /// Where operators call, once [`Node::console`] has read it.
+    console: Option<SocketAddr>,
     /// Its configuration and the file that holds it.
     config: (Value, PathBuf),
 }
@@ -304,12 +306,21 @@
     pub async fn told(config: Value, variables: &[(&str, &str)]) -> Self {
         let (mut child, path) = start_with(&config.to_string(), variables);
         let log = child.stderr.take().map(BufReader::new);
-        let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into(), config: (config, path) };
-        let line = node.logged("listening on ").await;
-        node.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        let mut node =
+            Node { child, log, address: ([127, 0, 0, 1], 0).into(), console: None, config: (config, path) };
+        let operated = node.config.0.get("console").is_some();
+        node.address = node.logged_address("listening on ").await;
+        if operated {
+            node.console = Some(node.logged_address("console at ").await);
+        }
         node
     }
 
+    async fn logged_address(&mut self, text: &str) -> SocketAddr {
+        let line = self.logged(text).await;
+        line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+    }
+
     /// A node with the usual settings that has taken a list of these servers.
     pub async fn serving(servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
         let discovery = Peer::new().await;
@@ -321,6 +332,36 @@
         (node, discovery, watch)
     }
 
+    /// The same with a console.
+    pub async fn operated(servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
+        let discovery = Peer::new().await;
+        let config = json!({
+            "name": "n", "listen": "127.0.0.1:0", "console": "127.0.0.1:0", "seed": "1f",
+            "discovery": discovery.address().to_string(),
+            "limits": {"sockets": 1024, "memory_mb": MEMORY_MB}, "settings": settings(),
+        });
+        let node = Node::told(config, &[]).await;
+        let (mut watch, _) = discovery.watch().await;
+        let members: Vec<Value> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
+        watch.list(1, true, &members).await;
+        node.ready().await;
+        (node, discovery, watch)
+    }
+
+    /// A connection to its console.
+    pub async fn caller(&self) -> Wire {
+        Wire::connect(self.console.expect("a console")).await
+    }
+
+    /// Calls its console, and says the status of the answer.
+    pub async fn call(&self, method: &str, path: &str) -> u16 {
+        let mut caller = self.caller().await;
+        caller.write(&format!("{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n")).await;
+        let status = caller.read().await.expect("an answer").status();
+        caller.closed().await;
+        status
+    }
+
     /// Waits until the node says that it is ready.
     pub async fn ready(&self) {
         while self.get("/health/ready").await.status() != 200 {
