Take over the listener by descriptor and keep the operators' word over an upgrade

The adopted descriptor is checked for a listening socket at the configured address. SIGTERM with another process beside stops accepting at once; alone it goes on as before. Limits are halved while two processes live (places.rs).

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -2,6 +2,8 @@
 
 use crate::discovery::{Phase, ServerList};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
+use crate::handover::Word;
+use crate::places::Places;
 use crate::stats::Stats;
 use bytes::Bytes;
 use finchvale::{KindId, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Time, ZoneId};
@@ -15,15 +17,13 @@
 use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, Visitor};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
@@ -160,17 +160,6 @@
     pub connect_timeout: Duration,
     /// After this a server closes an idle connection.
     pub conn_idle: Duration,
-    /// By this time after its start a server is warm.
-    pub warm_up: Duration,
-}
-
-/// What operators have said of backends, by name. It outlives what lists say of them.
-#[derive(Default)]
-struct Maintenance {
-    /// Left out until they are called back.
-    out: BTreeSet<String>,
-    /// When backends were last called back: for the rules they have just started.
-    returned: BTreeMap<String, Time>,
 }
 
 /// All servers and the connections to them.
@@ -178,11 +167,12 @@
     limits: Limits,
     names: Names,
     fields: Vec<Field>,
-    slots: Arc<Semaphore>,
+    slots: Places,
     by_name: RefCell<FxHashMap<String, Rc<Server>>>,
     by_id: RefCell<FxHashMap<ServerId, Rc<Server>>>,
     next_id: Cell<u32>,
-    maintenance: RefCell<Maintenance>,
+    /// What operators have said of backends. It outlives what lists say of them.
+    word: RefCell<Word>,
     stats: Rc<Stats>,
 }
 
@@ -195,14 +185,14 @@
     /// Starts with no servers.
     pub fn new(limits: Limits, names: Names, fields: Vec<Field>) -> Self {
         Backends {
-            slots: Arc::new(Semaphore::new(limits.connections)),
+            slots: Places::new(limits.connections),
             limits,
             names,
             fields,
             by_name: RefCell::default(),
             by_id: RefCell::default(),
             next_id: Cell::new(0),
-            maintenance: RefCell::default(),
+            word: RefCell::default(),
             stats: Rc::new(Stats::new()),
         }
     }
@@ -219,7 +209,7 @@
 
     /// Connections open, or about to be.
     pub fn connections(&self) -> usize {
-        self.limits.connections - self.slots.available_permits()
+        self.slots.taken()
     }
 
     /// The names that the settings give to classes, tenants and so on.
@@ -232,7 +222,7 @@
     pub fn take_list(&self, list: &ServerList) -> Vec<ServerEntry> {
         let mut by_name = self.by_name.borrow_mut();
         let mut by_id = self.by_id.borrow_mut();
-        let maintenance = self.maintenance.borrow();
+        let word = self.word.borrow();
         if list.complete {
             let named: rustc_hash::FxHashSet<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
             by_name.retain(|name, server| {
@@ -252,16 +242,11 @@
                 Phase::Leaving => ServerState::Draining,
                 Phase::Left => ServerState::Gone,
             };
-            let state = match listed {
-                ServerState::Ready if maintenance.out.contains(&member.id) => ServerState::Draining,
-                listed => listed,
-            };
             // Mapping a start by the clocks' present difference would make every list look like a restart;
             // the balancer's clock counts in Unix time, so that no mapping is needed.
             let started =
                 (member.up_since_ms > 0).then(|| Time(member.up_since_ms.saturating_mul(1_000_000)));
-            // A list may tell of the restart in a maintenance late, or not at all.
-            let started = started.max(maintenance.returned.get(&member.id).copied());
+            let (state, started) = told(&word, &member.id, listed, started);
             let server = match (by_name.get(&member.id), member.host_port) {
                 (Some(server), _) => server.clone(),
                 (None, Some(address)) if state != ServerState::Gone => {
@@ -312,46 +297,33 @@
     }
 
     // ---- maintenance ----
-    /// Leaves a backend out, whatever lists say, until it is called back. Says what changes for the balancer; None:
-    /// nobody has that name.
-    pub fn take_out(&self, name: &str) -> Option<Option<ServerEntry>> {
-        let out = &mut self.maintenance.borrow_mut().out;
-        let by_name = self.by_name.borrow();
-        let server = by_name.get(name);
-        if server.is_none() && !out.contains(name) {
-            return None;
-        }
-        out.insert(name.to_owned());
-        let changed = server.filter(|s| s.state.get() == ServerState::Ready).map(|server| {
-            server.state.set(ServerState::Draining);
+    /// Goes by what operators have said, from now on and whatever lists say. Returns what changes for the balancer.
+    pub fn heed(&self, word: &Word) -> Vec<ServerEntry> {
+        *self.word.borrow_mut() = word.clone();
+        let mut changed = Vec::new();
+        for server in self.by_id.borrow().values() {
+            let (before, since) = (server.state.get(), server.started.get());
+            let (state, started) = told(word, &server.name, server.listed.get(), since);
+            if (state, started) == (before, since) {
+                continue;
+            }
+            server.state.set(state);
+            server.started.set(started);
             server.abandon_connections();
-            server.entry()
-        });
-        Some(changed)
-    }
-
-    /// The same for a backend that is used again, as one that has started `now`.
-    pub fn call_back(&self, name: &str, now: Time) -> Option<Option<ServerEntry>> {
-        let mut maintenance = self.maintenance.borrow_mut();
-        let by_name = self.by_name.borrow();
-        let server = by_name.get(name);
-        if !maintenance.out.remove(name) {
-            return server.map(|_| None);
+            changed.push(server.entry());
         }
-        // Of those that no list names any more only the latest matter.
-        maintenance.returned.retain(|name, at| by_name.contains_key(name) || now - *at < self.limits.warm_up);
-        maintenance.returned.insert(name.to_owned(), now);
-        let changed = server.map(|server| {
-            server.started.set(server.started.get().max(Some(now)));
-            server.state.set(server.listed.get());
-            server.entry()
-        });
-        Some(changed)
+        changed.sort_unstable_by_key(|e| e.server);
+        changed
+    }
+
+    /// Whether a list names this backend.
+    pub fn knows(&self, name: &str) -> bool {
+        self.by_name.borrow().contains_key(name)
     }
 
     /// How many backends are left out.
     pub fn left_out(&self) -> usize {
-        self.maintenance.borrow().out.len()
+        self.word.borrow().out.len()
     }
 
     // ---- connections ----
@@ -401,13 +373,20 @@
 
     /// Room for one more connection, made if need be by closing the one that has been idle the longest.
     async fn slot(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = self.slots.clone().try_acquire_owned() {
+        if let Some(permit) = self.slots.take() {
             return Some(permit);
         }
         self.close_longest_idle();
         // The slot comes free once the driver of that connection has been dropped, in its next turn.
         tokio::task::yield_now().await;
-        self.slots.clone().try_acquire_owned().ok()
+        self.slots.take()
+    }
+
+    /// From now on there may be so many connections. Idle ones beyond that are closed at once, others once they end.
+    pub fn resize(&self, connections: usize) {
+        let beyond = self.slots.taken().saturating_sub(connections);
+        self.slots.resize(connections);
+        (0..beyond).for_each(|_| self.close_longest_idle());
     }
 
     fn close_longest_idle(&self) {
@@ -582,6 +561,17 @@
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
+/// A backend's state and start by a list, under what operators have said of it. A list may tell of a restart during a
+/// maintenance late, or not at all.
+fn told(word: &Word, name: &str, listed: ServerState, started: Option<Time>) -> (ServerState, Option<Time>) {
+    let state = match listed {
+        ServerState::Ready if word.out.contains(name) => ServerState::Draining,
+        listed => listed,
+    };
+    let returned = word.returned.get(name).map(|ms| Time(ms.saturating_mul(1_000_000)));
+    (state, started.max(returned))
+}
+
 /// Position of a name among those that the settings give; names they don't give share one of their own.
 fn position(names: &[String], name: &str) -> u8 {
     names.iter().position(|n| n == name).and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX)
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -70,6 +70,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The descriptor of a listener that the process inherits, if it does.
+    pub inherited: Option<String>,
     /// Where operators call, if they do.
     pub console: Option<SocketAddr>,
     /// Where discovery answers.
@@ -167,6 +169,7 @@
         Ok(Config {
             name: variable("GW_NAME").unwrap_or(file.name),
             listen,
+            inherited: variable("GW_LISTEN_FD"),
             console,
             discovery,
             discovery_in_file,
--- a/node/src/console.rs
+++ b/node/src/console.rs
@@ -3,7 +3,9 @@
 use crate::engine::Engine;
 use crate::frontend::{discard, Phase, ACCEPT_PAUSE};
 use crate::gate::{self, Problem};
+use crate::handover::{Keeper, Word};
 use bytes::BytesMut;
+use finchvale::Time;
 use hyper::StatusCode;
 use socket2::SockRef;
 use std::collections::VecDeque;
@@ -31,15 +33,68 @@
 pub struct Console {
     engine: Rc<Engine>,
     phase: Rc<watch::Sender<Phase>>,
+    keeper: Rc<Keeper>,
+    warm_up: Duration,
 }
 
 /// What a call is answered with.
-type Word = (StatusCode, &'static str);
+type Reply = (StatusCode, &'static str);
 
 impl Console {
-    /// For this node.
-    pub fn new(engine: Rc<Engine>, phase: Rc<watch::Sender<Phase>>) -> Rc<Self> {
-        Rc::new(Console { engine, phase })
+    /// For this node, which goes at once by what the keeper holds. Of backends called back longer ago than `warm_up` only
+    /// those matter that are listed.
+    pub fn new(
+        engine: Rc<Engine>,
+        phase: Rc<watch::Sender<Phase>>,
+        keeper: Rc<Keeper>,
+        warm_up: Duration,
+    ) -> Rc<Self> {
+        let console = Rc::new(Console { engine, phase, keeper, warm_up });
+        console.apply();
+        console
+    }
+
+    /// Takes in what another process of this node was told.
+    pub fn look(&self) {
+        match self.keeper.look() {
+            Ok(false) => {}
+            Ok(true) => {
+                self.apply();
+                let word = self.keeper.word();
+                self.engine.log(format_args!(
+                    "told beside draining={} left_out={}",
+                    word.draining,
+                    word.out.len()
+                ));
+            }
+            Err(error) => self.engine.log(format_args!("{error}")),
+        }
+    }
+
+    /// Puts the operators' word in force.
+    fn apply(&self) {
+        let word = self.keeper.word();
+        self.engine.heed(&word);
+        self.phase.send_if_modified(|phase| {
+            let drained = if word.draining { Phase::Draining } else { Phase::Serving };
+            let turns = *phase <= Phase::Draining && *phase != drained;
+            *phase = if turns { drained } else { *phase };
+            turns
+        });
+    }
+
+    /// Changes the operators' word, for every process of this node, and puts it in force.
+    async fn say<T>(&self, change: impl FnOnce(&mut Word) -> T) -> Result<T, Reply> {
+        match self.keeper.change(change).await {
+            Ok(said) => {
+                self.apply();
+                Ok(said)
+            }
+            Err(error) => {
+                self.engine.log(format_args!("{error}"));
+                Err((StatusCode::INTERNAL_SERVER_ERROR, "it could not be kept: nothing has changed"))
+            }
+        }
     }
 
     /// Takes calls for good.
@@ -68,8 +123,8 @@
         let call = timeout(WHOLE, read_call(&mut stream)).await;
         let (call, (status, text)) = match call {
             Ok(Some(Ok((method, path)))) => {
-                let word = self.carry_out(&method, &path);
-                (format!("{method} {path}"), word)
+                let reply = self.carry_out(&method, &path).await;
+                (format!("{method} {path}"), reply.unwrap_or_else(|no| no))
             }
             Ok(Some(Err(problem))) => ("unreadable".to_owned(), problem),
             // It left, or finished no call.
@@ -93,38 +148,57 @@
     }
 
     /// Does what a call asks for. Once it is answered that is in force.
-    fn carry_out(&self, method: &str, path: &str) -> Word {
-        let on = |from: Phase, to: Phase| {
-            self.phase.send_if_modified(|phase| {
-                let turns = *phase == from;
-                *phase = if turns { to } else { *phase };
-                turns
-            });
-            *self.phase.borrow()
-        };
+    async fn carry_out(&self, method: &str, path: &str) -> Result<Reply, Reply> {
         let backend = path.strip_prefix("/backends/").and_then(|rest| rest.rsplit_once('/'));
-        match (method, path, backend) {
+        Ok(match (method, path, backend) {
             ("GET", "/healthcheck", _) => match *self.phase.borrow() {
-                Phase::Leaving | Phase::Closing => (StatusCode::SERVICE_UNAVAILABLE, "leaving"),
-                _ if !self.engine.ready() => (StatusCode::SERVICE_UNAVAILABLE, "no list of backends"),
-                Phase::Draining => (StatusCode::OK, "ready, draining"),
+                Phase::Serving | Phase::Draining if !self.engine.ready() => {
+                    (StatusCode::SERVICE_UNAVAILABLE, "no list of backends")
+                }
                 Phase::Serving => (StatusCode::OK, "ready"),
+                Phase::Draining => (StatusCode::OK, "ready, draining"),
+                _ => (StatusCode::SERVICE_UNAVAILABLE, "leaving"),
             },
-            ("POST", "/healthcheck/fail", _) => {
-                on(Phase::Serving, Phase::Draining);
-                (StatusCode::OK, "draining")
+            ("POST", "/healthcheck/fail" | "/healthcheck/ok", _) => {
+                if *self.phase.borrow() > Phase::Draining {
+                    return Err((StatusCode::CONFLICT, "the process is leaving"));
+                }
+                let draining = path == "/healthcheck/fail";
+                self.say(|word| word.draining = draining).await?;
+                (StatusCode::OK, if draining { "draining" } else { "serving" })
+            }
+            ("POST", _, Some((id, "maint"))) => {
+                let known = self.engine.knows(id);
+                let out = |word: &mut Word| {
+                    let known = known || word.out.contains(id);
+                    known.then(|| word.out.insert(id.to_owned())).is_some()
+                };
+                known_backend(self.say(out).await?, "left out")
+            }
+            ("POST", _, Some((id, "ready"))) => {
+                let (known, now) = (|id: &str| self.engine.knows(id), self.engine.now());
+                let back = |word: &mut Word| {
+                    if !word.out.remove(id) {
+                        return known(id);
+                    }
+                    let recent = |ms: u64| now - Time(ms.saturating_mul(1_000_000)) < self.warm_up;
+                    word.returned.retain(|name, ms| known(name) || recent(*ms));
+                    word.returned.insert(id.to_owned(), now.0 / 1_000_000);
+                    true
+                };
+                known_backend(self.say(back).await?, "in use")
             }
-            ("POST", "/healthcheck/ok", _) => match on(Phase::Draining, Phase::Serving) {
-                Phase::Serving => (StatusCode::OK, "serving"),
-                _ => (StatusCode::CONFLICT, "the process is leaving"),
-            },
-            ("POST", _, Some((id, "maint"))) if self.engine.take_out(id) => (StatusCode::OK, "left out"),
-            ("POST", _, Some((id, "ready"))) if self.engine.call_back(id) => (StatusCode::OK, "in use"),
-            ("POST", _, Some((_, "maint" | "ready"))) => (StatusCode::NOT_FOUND, "unknown backend"),
             (_, "/healthcheck" | "/healthcheck/fail" | "/healthcheck/ok", _)
             | (_, _, Some((_, "maint" | "ready"))) => (StatusCode::METHOD_NOT_ALLOWED, "another method"),
             _ => (StatusCode::NOT_FOUND, "unknown call"),
-        }
+        })
+    }
+}
+
+fn known_backend(known: bool, done: &'static str) -> Reply {
+    match known {
+        true => (StatusCode::OK, done),
+        false => (StatusCode::NOT_FOUND, "unknown backend"),
     }
 }
 
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -5,6 +5,7 @@
 
 use crate::backend::{Backends, Exchange};
 use crate::discovery::{self, ServerList};
+use crate::handover::Word;
 use crate::stats::Stats;
 use bytes::Bytes;
 use finchvale::{
@@ -268,23 +269,22 @@
         self.feed(Event::List { kind, entries });
     }
 
-    /// Leaves a backend out from now on. False: nobody has that name.
-    pub fn take_out(&self, name: &str) -> bool {
-        self.changed(self.backends.take_out(name))
+    /// Goes by what operators have said, from now on.
+    pub fn heed(&self, word: &Word) {
+        let entries = self.backends.heed(word);
+        if !entries.is_empty() {
+            self.feed(Event::List { kind: ListKind::Changes, entries });
+        }
     }
 
-    /// Uses a backend again that was left out. False: nobody has that name.
-    pub fn call_back(&self, name: &str) -> bool {
-        self.changed(self.backends.call_back(name, self.clock.now()))
+    /// Whether a list names this backend.
+    pub fn knows(&self, backend: &str) -> bool {
+        self.backends.knows(backend)
     }
 
-    fn changed(&self, known: Option<Option<finchvale::ServerEntry>>) -> bool {
-        let kind = ListKind::Changes;
-        known
-            .iter()
-            .flatten()
-            .for_each(|entry| self.feed(Event::List { kind, entries: vec![entry.clone()] }));
-        known.is_some()
+    /// The balancer's clock.
+    pub fn now(&self) -> Time {
+        self.clock.now()
     }
 
     fn take_list(&self, list: &ServerList) -> Vec<finchvale::ServerEntry> {
--- /dev/null
+++ b/node/src/handover.rs
@@ -0,0 +1,343 @@
+//! What outlives a process: the listener that the platform holds for it, and the operators' word, kept in one file for the
+//! process that comes next. While two processes of a node live, both go by that file.
+
+use serde::{Deserialize, Serialize};
+use socket2::Socket;
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File, TryLockError};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{FromRawFd, OwnedFd, RawFd};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+/// The form of the file.
+const VERSION: u32 = 1;
+const KEPT: &str = "birchswitch.json";
+const NEXT: &str = "birchswitch.json.next";
+const LOCK: &str = "birchswitch.lock";
+/// Held, one each, by the processes of a node that live.
+const PRESENCE: [&str; 2] = ["birchswitch.0", "birchswitch.1"];
+/// Most that is read of the file: far more than any fleet's names take.
+const MOST_KEPT: u64 = 1 << 20;
+/// The lock is held for an instant at a time. It is asked for again after this ...
+const LOCK_AGAIN: Duration = Duration::from_millis(2);
+/// ... and so often: a caller waits for longer.
+const LOCK_TRIES: usize = 200;
+
+/// Why an inherited descriptor is of no use.
+#[derive(Debug, thiserror::Error)]
+pub enum AdoptError {
+    /// It is no number of a descriptor that may be handed over.
+    #[error("GW_LISTEN_FD {0:?} is not a descriptor's number above 2")]
+    Number(String),
+    /// There is no open socket of that number.
+    #[error("descriptor {0} of GW_LISTEN_FD is no socket: {1}")]
+    NoSocket(RawFd, io::Error),
+    /// Clients could not connect there.
+    #[error("descriptor {0} of GW_LISTEN_FD does not listen")]
+    Deaf(RawFd),
+    /// It is another listener.
+    #[error("descriptor {0} of GW_LISTEN_FD does not listen on {1}")]
+    Elsewhere(RawFd, SocketAddr),
+}
+
+/// Takes over the listening socket that `number` names, if it listens on `address`.
+pub fn adopt(number: &str, address: SocketAddr) -> Result<TcpListener, AdoptError> {
+    let fd: RawFd = number.parse().ok().filter(|fd| *fd > 2).ok_or(AdoptError::Number(number.to_owned()))?;
+    // SAFETY: The platform opened this descriptor for the process, says so by the variable, and nothing else here uses
+    // or closes it. Whether it is open is asked next; one that is not is given back below, never closed.
+    #[allow(unsafe_code)]
+    let socket = Socket::from(unsafe { OwnedFd::from_raw_fd(fd) });
+    let listens = socket.is_listener().map_err(|error| AdoptError::NoSocket(fd, error));
+    let checked = listens.and_then(|listens| {
+        let at = socket.local_addr().ok().and_then(|a| a.as_socket());
+        match at {
+            _ if !listens => Err(AdoptError::Deaf(fd)),
+            Some(at) if at == address => Ok(()),
+            _ => Err(AdoptError::Elsewhere(fd, address)),
+        }
+    });
+    match checked.and_then(|()| socket.set_nonblocking(true).map_err(|e| AdoptError::NoSocket(fd, e))) {
+        Ok(()) => Ok(socket.into()),
+        Err(error) => {
+            std::mem::forget(socket);
+            Err(error)
+        }
+    }
+}
+
+/// What operators have said and not taken back.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Word {
+    /// The node is drained.
+    pub draining: bool,
+    /// Backends that are left out, by name.
+    pub out: BTreeSet<String>,
+    /// When others were called back, in Unix time by milliseconds: for the rules they have started then.
+    pub returned: BTreeMap<String, u64>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Kept {
+    version: u32,
+    node: String,
+    word: Word,
+}
+
+/// Why the operators' word can't be read or kept.
+#[derive(Debug, thiserror::Error)]
+pub enum KeepError {
+    /// The system's word.
+    #[error("{0}: {1}")]
+    Io(&'static str, io::Error),
+    /// Another process holds the lock.
+    #[error("{LOCK} is held")]
+    Held,
+    /// No file of this program's, or not whole.
+    #[error("{KEPT} can't be read: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    /// Another version's or another node's.
+    #[error("{KEPT} is of version {0} and node {1:?}")]
+    Foreign(u32, String),
+}
+
+/// Tells one state of the file from the next.
+type Stamp = (u64, u64, Option<SystemTime>);
+
+/// Keeps the operators' word, in a file if there is a place for one.
+pub struct Keeper {
+    place: Option<PathBuf>,
+    node: String,
+    word: RefCell<Word>,
+    seen: Cell<Option<Stamp>>,
+    presence: RefCell<Option<(usize, File)>>,
+}
+
+impl Keeper {
+    /// With what the process before has left in `place`; also says what of that is no good.
+    pub fn open(place: Option<PathBuf>, node: &str) -> (Self, Option<KeepError>) {
+        let (word, seen, presence) = (RefCell::default(), Cell::new(None), RefCell::default());
+        let keeper = Keeper { place, node: node.to_owned(), word, seen, presence };
+        let problem = keeper.look().err();
+        (keeper, problem)
+    }
+
+    /// What holds at present.
+    pub fn word(&self) -> Ref<'_, Word> {
+        self.word.borrow()
+    }
+
+    /// Takes in what another process has written since. A file that is no good or gone leaves things as they are.
+    pub fn look(&self) -> Result<bool, KeepError> {
+        let Some(place) = &self.place else { return Ok(false) };
+        let Ok(found) = fs::metadata(place.join(KEPT)) else { return Ok(false) };
+        let stamp = Some((found.ino(), found.len(), found.modified().ok()));
+        if self.seen.replace(stamp) == stamp {
+            return Ok(false);
+        }
+        let word = read(place, &self.node)?;
+        let changed = word.as_ref().is_some_and(|w| *w != *self.word.borrow());
+        word.into_iter().for_each(|w| *self.word.borrow_mut() = w);
+        Ok(changed)
+    }
+
+    /// Changes it, from what any process has written last, for all of them.
+    pub async fn change<T>(&self, change: impl FnOnce(&mut Word) -> T) -> Result<T, KeepError> {
+        let _lock = match &self.place {
+            Some(place) => Some(lock(place).await?),
+            None => None,
+        };
+        // What can't be read is replaced: it was logged when it was seen first.
+        let latest = self.place.as_ref().and_then(|place| read(place, &self.node).ok().flatten());
+        let mut word = latest.unwrap_or_else(|| self.word.borrow().clone());
+        let before = word.clone();
+        let said = change(&mut word);
+        if let Some(place) = self.place.as_ref().filter(|_| word != before) {
+            write(place, &Kept { version: VERSION, node: self.node.clone(), word: word.clone() })?;
+        }
+        *self.word.borrow_mut() = word;
+        Ok(said)
+    }
+
+    /// Whether another process of this node lives. Holds this one's presence, which ends with the process.
+    pub fn accompanied(&self) -> bool {
+        let Some(place) = &self.place else { return false };
+        let mut presence = self.presence.borrow_mut();
+        let free = |at: &usize| hold(&place.join(PRESENCE[*at])).map(|file| (*at, file));
+        if presence.is_none() {
+            *presence = (0..PRESENCE.len()).find_map(|at| free(&at));
+        }
+        // One that can be held is let go at once.
+        presence
+            .as_ref()
+            .is_none_or(|own| (0..PRESENCE.len()).filter(|at| *at != own.0).any(|at| free(&at).is_none()))
+    }
+}
+
+/// Locks a file that this process is to hold. None: it can't be had.
+fn hold(path: &Path) -> Option<File> {
+    let file = File::options().create(true).truncate(false).write(true).open(path).ok()?;
+    file.try_lock().ok().map(|()| file)
+}
+
+async fn lock(place: &Path) -> Result<File, KeepError> {
+    let failed = |error| KeepError::Io(LOCK, error);
+    let file = File::options().create(true).truncate(false).write(true).open(place.join(LOCK));
+    let file = file.map_err(failed)?;
+    for _ in 0..LOCK_TRIES {
+        match file.try_lock() {
+            Ok(()) => return Ok(file),
+            Err(TryLockError::Error(error)) => return Err(failed(error)),
+            Err(TryLockError::WouldBlock) => tokio::time::sleep(LOCK_AGAIN).await,
+        }
+    }
+    Err(KeepError::Held)
+}
+
+/// What the file says, if there is one.
+fn read(place: &Path, node: &str) -> Result<Option<Word>, KeepError> {
+    let failed = |error| KeepError::Io(KEPT, error);
+    let file = match File::open(place.join(KEPT)) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        file => file.map_err(failed)?,
+    };
+    let mut text = Vec::new();
+    file.take(MOST_KEPT).read_to_end(&mut text).map_err(failed)?;
+    let kept: Kept = serde_json::from_slice(&text)?;
+    match kept.version == VERSION && kept.node == node {
+        true => Ok(Some(kept.word)),
+        false => Err(KeepError::Foreign(kept.version, kept.node)),
+    }
+}
+
+/// Replaces the file at one blow: nobody reads half of it.
+fn write(place: &Path, kept: &Kept) -> Result<(), KeepError> {
+    let text = serde_json::to_vec(kept)?;
+    let replaced =
+        fs::write(place.join(NEXT), text).and_then(|()| fs::rename(place.join(NEXT), place.join(KEPT)));
+    replaced.map_err(|error| KeepError::Io(KEPT, error))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::os::fd::{AsRawFd, IntoRawFd};
+
+    /// An empty folder of a test's own.
+    struct Place(PathBuf);
+
+    impl std::ops::Deref for Place {
+        type Target = PathBuf;
+        fn deref(&self) -> &PathBuf {
+            &self.0
+        }
+    }
+
+    impl Drop for Place {
+        fn drop(&mut self) {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+
+    fn place(name: &str) -> Place {
+        let place = std::env::temp_dir().join(format!("birchswitch-{}-{name}", std::process::id()));
+        fs::create_dir_all(&place).expect("a folder");
+        Place(place)
+    }
+
+    fn open(place: &Path) -> Keeper {
+        let (keeper, problem) = Keeper::open(Some(place.to_owned()), "n");
+        assert!(problem.is_none(), "{problem:?}");
+        keeper
+    }
+
+    #[tokio::test]
+    async fn a_word_binds_the_process_beside_and_the_one_after() {
+        let place = place("word");
+        let (old, new) = (open(&place), open(&place));
+        old.change(|w| w.out.insert("a".into())).await.expect("a change");
+        assert!(new.look().expect("a look"));
+        assert!(!new.look().expect("a look"), "nothing has changed since");
+        // The other has not looked since: what it changes builds on what was written all the same.
+        new.change(|w| w.draining = true).await.expect("a change");
+        old.change(|w| w.out.insert("b".into())).await.expect("a change");
+        let third = open(&place);
+        assert!(third.word().draining);
+        assert_eq!(third.word().out.iter().collect::<Vec<_>>(), ["a", "b"]);
+        assert!(!place.join(NEXT).exists());
+    }
+
+    #[tokio::test]
+    async fn a_file_that_is_no_good_is_empty_and_is_replaced() {
+        let place = place("spoilt");
+        let whole = r#"{"version":1,"node":"n","word":{"draining":true,"out":["a"],"returned":{}}}"#;
+        let spoilt = [
+            "",
+            &whole[..30],
+            "[]",
+            &whole.replace("\"version\":1", "\"version\":2"),
+            &whole.replace("\"n\"", "\"m\""),
+            &whole.replace("true", "1"),
+            &whole.replace("\"out\"", "\"in\""),
+        ];
+        for text in spoilt {
+            fs::write(place.join(KEPT), text).expect("a file");
+            let (keeper, problem) = Keeper::open(Some(place.to_owned()), "n");
+            assert!(problem.is_some(), "{text}");
+            assert_eq!(*keeper.word(), Word::default(), "{text}");
+            keeper.change(|w| w.out.insert("b".into())).await.expect("a change");
+            assert_eq!(open(&place).word().out.iter().collect::<Vec<_>>(), ["b"]);
+        }
+        fs::write(place.join(KEPT), whole).expect("a file");
+        assert!(open(&place).word().draining);
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_lock_that_is_never_let_go_is_no_hang() {
+        let place = place("lock");
+        let keeper = open(&place);
+        let _held = hold(&place.join(LOCK)).expect("the lock");
+        assert!(matches!(keeper.change(|w| w.draining = true).await, Err(KeepError::Held)));
+        assert!(!keeper.word().draining);
+    }
+
+    #[test]
+    fn processes_see_each_other_while_they_live() {
+        let place = place("presence");
+        let old = open(&place);
+        assert!(!old.accompanied());
+        let new = open(&place);
+        assert!(new.accompanied() && old.accompanied());
+        let third = open(&place);
+        assert!(third.accompanied());
+        drop(old);
+        assert!(third.accompanied() && new.accompanied());
+        drop(third);
+        assert!(!new.accompanied());
+    }
+
+    #[test]
+    fn only_the_listener_that_was_meant_is_adopted() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let number = |fd: RawFd| fd.to_string();
+        let elsewhere = SocketAddr::new(address.ip(), address.port() ^ 1);
+        let (kept, other) = (number(listener.as_raw_fd()), listener.try_clone().expect("a copy"));
+        assert!(matches!(adopt(&kept, elsewhere), Err(AdoptError::Elsewhere(..))));
+        let client = std::net::TcpStream::connect(address).expect("a connection: it is open still");
+        assert!(matches!(adopt(&number(client.as_raw_fd()), address), Err(AdoptError::Deaf(_))));
+        let file = File::open("/dev/null").expect("a file");
+        assert!(matches!(adopt(&number(file.as_raw_fd()), address), Err(AdoptError::NoSocket(..))));
+        assert!(matches!(adopt("1000000", address), Err(AdoptError::NoSocket(..))));
+        for senseless in ["", "x", "-1", "0", "2", "99999999999"] {
+            assert!(matches!(adopt(senseless, address), Err(AdoptError::Number(_))), "{senseless}");
+        }
+        let adopted = adopt(&number(other.into_raw_fd()), address).expect("the listener");
+        assert_eq!(adopted.local_addr().expect("an address"), address);
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,6 +1,6 @@
 //! `birchswitch`: a reverse-proxy node. Reads its configuration, wires the parts together, and ends on a signal.
 
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![deny(missing_docs)]
 
 mod backend;
@@ -10,6 +10,8 @@
 mod engine;
 mod frontend;
 mod gate;
+mod handover;
+mod places;
 mod stats;
 
 use backend::Backends;
@@ -17,6 +19,7 @@
 use console::Console;
 use engine::Engine;
 use frontend::{Frontend, Phase};
+use handover::Keeper;
 use std::error::Error;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -35,6 +38,10 @@
 /// Most that one request may hold: its body and answer, and the buffers of both connections. Measured with bodies of the
 /// largest kind at every place.
 const REQUEST_MEMORY: usize = 200 << 10;
+/// How often a process looks for another of its node, and for what that one was told.
+const LOOK: Duration = Duration::from_millis(100);
+/// The same for whether it can serve.
+const UNREADY: Duration = Duration::from_millis(10);
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 
@@ -60,16 +67,29 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let settings = config.site.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let warm_up = settings.rules.warm_up;
     let effects = settings.classes.iter().map(|c| c.effect).collect();
     // Three quarters of memory are for requests; clients and backends share what descriptors there are. That is more
     // than the third that clients need for requests: the rest is for those that say nothing.
     let reserved = RESERVED_SOCKETS + config.console.map_or(0, |_| console::SOCKETS);
-    let clients = ((config.sockets - reserved) / 2).min(config.memory / 4 * 3 / REQUEST_MEMORY).max(1);
+    let operated = config.console.is_some() || config.inherited.is_some();
+    let place = std::env::var_os("TMPDIR").filter(|_| operated);
+    let unkept = operated && place.is_none();
+    let (keeper, unread) = Keeper::open(place.map(Into::into), &config.name);
+    let keeper = Rc::new(keeper);
+    // Two processes of a node have one machine between them.
+    let plan = move |accompanied: bool| {
+        let part = 1 + usize::from(accompanied);
+        let sockets = (config.sockets / part).saturating_sub(reserved).max(2);
+        let clients = (sockets / 2).min(config.memory / part / 4 * 3 / REQUEST_MEMORY).max(1);
+        (clients, sockets - clients)
+    };
+    let mut accompanied = keeper.accompanied();
+    let (clients, connections) = plan(accompanied);
     let limits = backend::Limits {
-        connections: config.sockets - reserved - clients,
+        connections,
         connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
         conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
-        warm_up: settings.rules.warm_up,
     };
     let classes = config.site.names.classes.iter().zip(&settings.classes);
     let classes: Vec<String> = classes
@@ -93,10 +113,21 @@
     let backends = Rc::new(Backends::new(limits, config.site.names, config.site.fields));
     let engine = Engine::new(config.name, settings, config.seed, backends.clone(), config.discovery)?;
     let bound = |address| listen(address).map_err(|e| format!("cannot listen on {address}: {e}"));
-    let listener = bound(config.listen)?;
+    let inherited = config.inherited.is_some();
+    let listener = match &config.inherited {
+        Some(number) => TcpListener::from_std(handover::adopt(number, config.listen)?)?,
+        None => bound(config.listen)?,
+    };
     let calls = config.console.map(bound).transpose()?;
     engine.log(format_args!("listening on {}", listener.local_addr()?));
     engine.log(format_args!("{figures}"));
+    unread.iter().for_each(|problem| engine.log(format_args!("taken as empty: {problem}")));
+    if unkept {
+        engine.log(format_args!("TMPDIR is not set: maintenance and drain end with this process"));
+    }
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let phase = Rc::new(phase);
+    let console = Console::new(engine.clone(), phase.clone(), keeper.clone(), warm_up);
     engine.known(config.known.as_ref());
     engine.follow();
     let reloading = engine.clone();
@@ -105,6 +136,7 @@
             reload(&reloading);
         }
     });
+    let sharing = backends.clone();
     spawn_local(async move { backends.retire_idle().await });
     let counted = engine.clone();
     spawn_local(async move {
@@ -114,19 +146,43 @@
             counted.log_stats();
         }
     });
-    let (phase, phases) = watch::channel(Phase::Serving);
-    let phase = Rc::new(phase);
     if let Some(calls) = calls {
         engine.log(format_args!("console at {}", calls.local_addr()?));
-        spawn_local(Console::new(engine.clone(), phase.clone()).serve(calls));
+        spawn_local(console.clone().serve(calls));
+    }
+    let frontend = Frontend::new(engine.clone(), effects, clients, phases);
+    if operated {
+        let (engine, keeper, frontend) = (engine.clone(), keeper.clone(), frontend.clone());
+        spawn_local(async move {
+            let mut every = tokio::time::interval(LOOK);
+            loop {
+                every.tick().await;
+                console.look();
+                let now = keeper.accompanied();
+                if std::mem::replace(&mut accompanied, now) != now {
+                    let (clients, upstream) = plan(now);
+                    frontend.resize(clients);
+                    sharing.resize(upstream);
+                    engine.log(format_args!("accompanied={now} clients={clients} upstream={upstream}"));
+                }
+            }
+        });
     }
-    let served = spawn_local(Frontend::new(engine.clone(), effects, clients as u32, phases).serve(listener));
+    let (serving, beside, ready) = (frontend.clone(), keeper.clone(), engine.clone());
+    let served = spawn_local(async move {
+        // While this process has no list, the one beside it can serve what comes.
+        while inherited && !ready.ready() && beside.accompanied() {
+            tokio::time::sleep(UNREADY).await;
+        }
+        serving.serve(listener).await;
+    });
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    engine.log(format_args!("leaving"));
-    phase.send_replace(Phase::Leaving);
+    let handing_over = inherited && keeper.accompanied();
+    engine.log(format_args!("leaving handing_over={handing_over}"));
+    phase.send_replace(if handing_over { Phase::HandingOver } else { Phase::Leaving });
     tokio::time::sleep(LEAVE).await;
     phase.send_replace(Phase::Closing);
     // What was taken last is due within the longest deadline.
