--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -114,8 +114,9 @@
     /// The clients' names for what is in the ledger. Clients choose them, hence the hasher with a secret.
     ids: HashSet<Box<[u8]>>,
     next_request: u64,
-    /// Attempts at each server since the counters were last written, and how many of them it turned away.
-    sent: FxHashMap<ServerId, (u32, u32)>,
+    /// Attempts at each server since the counters were last written, and how many of them it turned away or answered with
+    /// an error, or with nothing of use.
+    sent: FxHashMap<ServerId, [u32; 3]>,
     /// The watch, or the task that keeps one open.
     watch: Option<AbortHandle>,
 }
@@ -382,8 +383,12 @@
         let (server, latency) = (a.server, since(&entry.request, a.began));
         a.end = Some((exchange.outcome, latency, exchange.report));
         self.stats.count(|c| c.ended(exchange.outcome));
-        let full = u32::from(exchange.outcome == Outcome::TurnedAway);
-        state.sent.entry(server).or_default().1 += full;
+        let count = state.sent.entry(server).or_default();
+        match exchange.outcome {
+            Outcome::TurnedAway => count[1] += 1,
+            Outcome::Error | Outcome::Broken => count[2] += 1,
+            _ => {}
+        }
         let Some(entry) = state.ledger.get_mut(&request) else { return };
         if let Some(problem) = exchange.problem.take().filter(|_| self.stats.single_broken()) {
             let id = printable(&entry.id);
@@ -532,11 +537,11 @@
         }
         for s in &view.servers {
             let load = s.load.unwrap_or(f64::NAN);
-            let (sent, full) = sent.get(&s.server).copied().unwrap_or_default();
+            let [sent, full, bad] = sent.get(&s.server).copied().unwrap_or_default();
             let (util, queue) = (s.report.busy.unwrap_or(f64::NAN), s.report.waiting.unwrap_or(f64::NAN));
             let _ = write!(
                 line,
-                " {}:weight={:.2},price={:.2},load={load:.2},util={util:.2},queue={queue:.2},warm={:.2},speed={:.2},share={:.2},out={},sent={sent},full={full}",
+                " {}:weight={:.2},price={:.2},load={load:.2},util={util:.2},queue={queue:.2},warm={:.2},speed={:.2},share={:.2},out={},sent={sent},full={full},bad={bad}",
                 s.server, s.weight, s.price, s.warmth, s.speed, s.share, s.out
             );
         }
@@ -576,7 +581,7 @@
             }
         });
         self.stats.count(|c| c.attempts += 1);
-        state.sent.entry(server).or_default().0 += 1;
+        state.sent.entry(server).or_default()[0] += 1;
         let task = Some(task.abort_handle());
         entry.attempts.push(Attempt { server, began, may_have_run: true, end: None, task });
     }
