Leave half of the pause before a new watch to chance

Discovery.rs paused for 100 ms to 1 s, the same at every node: nodes that lose their watches together ask again together.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -20,6 +20,8 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Pauses before a broken watch is opened again: the first, and the longest.
 const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
+/// The part of a pause that is left to chance.
+const JITTER: f64 = 0.5;
 /// Longest line that is taken in.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -120,8 +122,10 @@
         if engine.lists_taken() != before {
             pause = PAUSE[0];
         }
-        engine.log(format_args!("watch: {error}; again in {} ms", pause.as_millis()));
-        tokio::time::sleep(pause).await;
+        // Many nodes may have lost theirs at one moment.
+        let wait = pause.mul_f64(1.0 - JITTER * engine.random());
+        engine.log(format_args!("watch: {error}; again in {} ms", wait.as_millis()));
+        tokio::time::sleep(wait).await;
         pause = (pause * 2).min(PAUSE[1]);
     }
 }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -13,6 +13,8 @@
     Reason, RequestId, ServerId, ServerState, Settings, SettingsError, TenantId, Time,
 };
 use hyper::{Request, Response};
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashSet, VecDeque};
@@ -127,6 +129,8 @@
     me: Weak<Engine>,
     name: String,
     clock: Clock,
+    /// For what nodes should not do in step. The balancer's numbers are its own.
+    rng: RefCell<Xoshiro256PlusPlus>,
     backends: Rc<Backends>,
     stats: Rc<Stats>,
     /// Where the list of servers is.
@@ -172,6 +176,7 @@
             me: me.clone(),
             name,
             clock,
+            rng: RefCell::new(Xoshiro256PlusPlus::seed_from_u64(!seed)),
             stats: backends.stats(),
             backends,
             discovery: Cell::new(discovery),
@@ -191,6 +196,11 @@
         let _ = writeln!(std::io::stderr(), "{}: {line}", self.name);
     }
 
+    /// Uniform in [0, 1).
+    pub fn random(&self) -> f64 {
+        (self.rng.borrow_mut().next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
     /// The names that the settings give to classes, tenants and so on.
     pub fn names(&self) -> &finchvale_drill::settings::Names {
         self.backends.names()
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -305,3 +305,25 @@
     watch.list(1, true, &[member("s", server.address(), "active")]).await;
     node.ready().await;
 }
+
+/// Nodes that lose their watches at one moment don't come back in step, however often they are turned away.
+#[tokio::test]
+async fn pauses_of_nodes_differ() {
+    let mut pauses = Vec::new();
+    for seed in ["1f", "2e"] {
+        let discovery = Peer::new().await;
+        let config = serde_json::json!({
+            "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(), "seed": seed, "settings": settings(),
+        });
+        let mut node = Node::told(config, &[]).await;
+        for longest in [100, 200, 400] {
+            let (mut wire, _) = discovery.request().await;
+            wire.answer("503 Service Unavailable", "", "").await;
+            let line = node.logged("again in ").await;
+            let pause: u64 = line.split(' ').rev().nth(1).and_then(|ms| ms.parse().ok()).expect("a pause");
+            assert!((longest / 2..=longest).contains(&pause), "{line}");
+            pauses.push(pause);
+        }
+    }
+    assert_ne!(pauses[..3], pauses[3..]);
+}
