Keep a cold backend at the going price, so that it is not rushed once it is warm

Seen: one of them, warm since a moment, has price 0.12 beside 1.1, shares of 8.1 of 10, 89 of 277 attempts turned away for a full queue, while others have shares of 0.00. Cause: step() in logic.rs lowers a price by utilisation, and a cold backend's is low because solve() bounds its share; when the bound ends with the warm-up the price of all those idle seconds decides. Mend: while it is cold its price stays at the going one at least.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -106,6 +106,7 @@
     /// Moves a server's price by the ticks since it was last looked at.
     fn step(&mut self, i: usize, now: Time) {
         let load_factor = LOAD_FACTOR.min(self.mean_load);
+        let cold = self.servers[i].warmth(&self.settings.rules, now) < 1.0;
         let s = &mut self.servers[i];
         let ticks = ((now - s.stepped).as_secs_f64() / TICK).floor();
         if ticks < 1.0 {
@@ -123,6 +124,10 @@
         s.price = (s.price + STEP * live * (load - load_factor)).clamp(0.0, self.going_price + PRICE_MOST);
         // A server that gets nothing reports nothing: without a way back it would be avoided for ever.
         s.price += (self.going_price - s.price) * ((ticks * TICK - live) / DRIFT).min(1.0);
+        // A cold one is idle by its bound: cheap for that, it would be rushed as soon as it is warm.
+        if cold {
+            s.price = s.price.max(self.going_price);
+        }
     }
 
     /// Brings prices and shares up to date when a draw is due: once a tick, or after a few own sends.
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -825,3 +825,24 @@
     assert_eq!(b.markets[0].refused, 0.0);
     assert!(b.requests.is_empty());
 }
+
+/// A cold server is idle because its bound keeps requests from it. Were it cheap for that, all would rush it once it is warm:
+/// where backends were put back one of ten drew nine tenths of the requests.
+#[test]
+fn a_cold_server_grows_no_cheaper_than_the_others() {
+    let mut b = balancer(4);
+    let i = b.index[&ServerId(1)];
+    let warm = b.settings.rules.warm_up;
+    b.servers[i].started = Some(at(0));
+    (b.going_price, b.mean_load) = (1.0, 1.0);
+    b.servers[i].price = 1.0;
+    for tick in 0..warm.as_millis() as u64 / 100 {
+        b.report(at(tick * 100), ServerId(1), &report(0.05, 10.0));
+    }
+    assert!(b.servers[i].price >= 1.0, "{}", b.servers[i].price);
+    // Once it is warm its price follows its load.
+    let later = at(warm.as_millis() as u64 + 100);
+    b.report(later, ServerId(1), &report(0.05, 10.0));
+    b.step(i, later + ms(400));
+    assert!(b.servers[i].price < 1.0);
+}
