Send nothing on for a client that has left while the connection was coming up

Seen: a test holds the handshake with a backend back, lets the client leave and then lets the connection come up: the request arrives there, whatever its class. At fault: Engine::client_gone closed the request and told the balancer, and left its attempts alone; Backends::attempt asks after the checkout whether the server takes new requests, not whether anybody waits. The same held for a request that the balancer gave up with an attempt connecting.

Now what has reached no server ends there as not sent, so that the ledger, the place and the request's name are free at once. What was written goes on. Checked: an attempt whose request is with the connection counts as written; the balancer never cancels, so that the settings of cancel have no part in this.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -438,15 +438,15 @@
 
     // ---- attempts and probes ----
     /// Sends one request, before `send_by` if that is given, and reads its answer, until `until` at the latest. Never
-    /// sends it again.
+    /// sends it again. `sent` is set before the first byte goes.
     pub async fn attempt(
         &self,
         server: &Server,
         request: Request<Outgoing>,
         send_by: Option<Instant>,
         until: Instant,
+        sent: &Cell<bool>,
     ) -> Exchange {
-        let sent = Cell::new(false);
         let (head, body) = request.into_parts();
         // What can't be sent again isn't.
         let Some(sending) = body.sending() else { return Exchange::failed(Outcome::NotSent) };
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -107,6 +107,8 @@
     end: Option<(Outcome, Duration, Option<LoadReport>)>,
     /// None once it has ended.
     task: Option<AbortHandle>,
+    /// Set once it may have reached the server.
+    written: Rc<Cell<bool>>,
 }
 
 struct State {
@@ -338,14 +340,30 @@
     fn client_gone(&self, request: RequestId) {
         let mut state = self.state.borrow_mut();
         let open = state.ledger.get_mut(&request).and_then(|e| e.reply.take());
-        drop(state);
         if open.is_some() {
             self.stats.count(|c| c.gone += 1);
+            self.withhold(&mut state, request);
+            drop(state);
             self.feed(Event::ClientGone { request });
             self.settle(request);
         }
     }
 
+    /// Ends what nobody waits for any more and no server has got yet: no attempt of it that is still connecting goes out.
+    fn withhold(&self, state: &mut State, request: RequestId) {
+        let Some(entry) = state.ledger.get_mut(&request) else { return };
+        for (attempt, a) in (0..).zip(&mut entry.attempts) {
+            let Some(task) = a.task.take_if(|_| !a.written.get()) else { continue };
+            task.abort();
+            let (outcome, latency) = (Outcome::NotSent, a.began.elapsed());
+            (a.may_have_run, a.end) = (false, Some((outcome, latency, None)));
+            self.stats.count(|c| c.ended(outcome));
+            let (server, closed, report) = (a.server, true, None);
+            let ended = Ended { request, attempt, server, outcome, latency, closed, report };
+            state.events.push_back(Event::Ended(ended));
+        }
+    }
+
     /// The first bytes of an answer are there, and go to the client. False: nobody wants them.
     fn attempt_begun(&self, request: RequestId, attempt: u32, exchange: &mut Exchange) -> bool {
         let mut state = self.state.borrow_mut();
@@ -414,6 +432,9 @@
         }
         let closed = entry.reply.is_none();
         let (outcome, report) = (exchange.outcome, exchange.report);
+        if closed {
+            self.withhold(&mut state, request);
+        }
         drop(state);
         self.feed(Event::Ended(Ended { request, attempt, server, outcome, latency, closed, report }));
         self.settle(request);
@@ -474,6 +495,7 @@
         if self.stats.single(reason) {
             self.log_given_up(entry, if refused { "refused" } else { "failed" }, reason);
         }
+        self.withhold(state, request);
     }
 
     // ---- what is logged ----
@@ -568,7 +590,8 @@
             let (outcome, latency, closed) = (Outcome::NotSent, Duration::ZERO, entry.reply.is_none());
             let end = Some((outcome, latency, None));
             self.stats.count(|c| c.ended(outcome));
-            entry.attempts.push(Attempt { server, began, may_have_run: false, end, task: None });
+            let (task, written) = (None, Rc::default());
+            entry.attempts.push(Attempt { server, began, may_have_run: false, end, task, written });
             let report = None;
             let ended = Ended { request, attempt, server, outcome, latency, closed, report };
             return state.events.push_back(Event::Ended(ended));
@@ -579,8 +602,10 @@
         let send_by = risky.and_then(|a| Some(a.began + entry.window?));
         let outgoing = entry.request.clone();
         let (me, backends) = (self.me.clone(), self.backends.clone());
+        let written: Rc<Cell<bool>> = Rc::default();
+        let sent = written.clone();
         let task = spawn_local(async move {
-            let mut exchange = backends.attempt(&backend, outgoing, send_by, until).await;
+            let mut exchange = backends.attempt(&backend, outgoing, send_by, until, &sent).await;
             if let Some(engine) = me.upgrade() {
                 engine.attempt_passing(request, attempt, &mut exchange).await;
             }
@@ -593,7 +618,7 @@
         self.stats.count(|c| c.attempts += 1);
         state.sent.entry(server).or_default()[0] += 1;
         let task = Some(task.abort_handle());
-        entry.attempts.push(Attempt { server, began, may_have_run: true, end: None, task });
+        entry.attempts.push(Attempt { server, began, may_have_run: true, end: None, task, written });
     }
 
     fn cancel(state: &mut State, request: RequestId, attempt: u32) {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -94,6 +94,21 @@
         self.closed().await;
     }
 
+    /// Ends it by a reset.
+    pub fn reset(self) {
+        self.0.get_ref().set_zero_linger().expect("a socket to reset");
+    }
+
+    /// What has come by now, and whether the other side has closed: asked without waiting.
+    pub fn at_end(&self) -> bool {
+        let mut byte = [0];
+        matches!(self.0.get_ref().try_read(&mut byte), Ok(0)) || self.broken()
+    }
+
+    fn broken(&self) -> bool {
+        SockRef::from(self.0.get_ref()).take_error().is_ok_and(|e| e.is_some())
+    }
+
     pub async fn write(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).await.expect("writing");
     }
@@ -199,6 +214,28 @@
         self.send_as(&format!("r{}", NEXT.fetch_add(1, Ordering::Relaxed)), class, wait).await;
     }
 
+    /// Sends an unsafe request with a body.
+    pub async fn with_body(&mut self, id: &str, body: &str) {
+        let length = format!("Content-Length: {}\r\n\r\n{body}", body.len());
+        self.begin_unsafe(id, &length).await;
+    }
+
+    /// The same in chunks.
+    pub async fn chunked(&mut self, id: &str) {
+        self.begin_unsafe(id, "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n").await;
+    }
+
+    async fn begin_unsafe(&mut self, id: &str, rest: &str) {
+        let head = format!("POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id}\r\nX-Timeout: 60000m\r\n");
+        self.write(&format!("{head}X-Tenant-Id: one\r\n{rest}")).await;
+    }
+
+    /// Ends the sending, and waits for the other side to close.
+    pub async fn leave(&mut self) {
+        self.0.get_mut().shutdown().await.expect("the closing");
+        self.ended().await;
+    }
+
     pub async fn send_as(&mut self, id: &str, class: &str, wait: &str) {
         let method = if class == "safe" { "GET" } else { "POST" };
         let key = if class == "keyed" { "Idempotency-Key: k\r\n" } else { "" };
@@ -256,6 +293,20 @@
     }
 }
 
+/// A listener whose queue of connections is full, which lets a further one wait until the kernel asks again.
+pub async fn full_listener() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(own_address()).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let patience = Duration::from_millis(300);
+    let mut filling = Vec::new();
+    while let Ok(stream) = tokio::time::timeout(patience, TcpStream::connect(address)).await {
+        filling.push(stream.expect("a connection"));
+    }
+    (listener, address, filling)
+}
+
 /// An open watch.
 pub struct Watch(pub Wire);
 
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -189,20 +189,6 @@
     within("service", back).await;
 }
 
-/// A listener whose queue of connections is full, which lets a further one wait until the kernel asks again.
-async fn full_listener() -> (tokio::net::TcpListener, std::net::SocketAddr, Vec<tokio::net::TcpStream>) {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind(own_address()).expect("a port");
-    let listener = socket.listen(1).expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    let patience = std::time::Duration::from_millis(300);
-    let mut filling = Vec::new();
-    while let Ok(stream) = tokio::time::timeout(patience, tokio::net::TcpStream::connect(address)).await {
-        filling.push(stream.expect("a connection"));
-    }
-    (listener, address, filling)
-}
-
 /// Duplicates are dropped only for a while: a connection that comes up after that carries no repeat.
 #[tokio::test]
 async fn a_repeat_is_kept_back_once_its_window_has_passed() {
