See a client's leaving behind bytes that came after its request

Seen: a client closes behind a whole further head, half a head, no head at all, 100 KB of anything, or behind a chunked body with bytes after it. Its request is repeated, or held until its time is over. With plain closes it was not. At fault: gate.rs poll_read handed a further head, or the stand-in for a bad one, to hyper while a request was in hand; hyper looks for the end of a connection only while it holds no bytes. Where both are read in one turn (node stopped, client closes, node goes on) the request went out: "left" arrives before "fence" with a further head behind it. A plain close read in the same turn was seen before the send.

While a request is in hand the gate now lets nothing more through, holds up to a head's length and looks for the end. Behind more than that, or behind chunks, of which only hyper knows the end, the look at all connections every 0.1 s asks whether the other side has closed.

--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -126,6 +126,8 @@
     malformed: Cell<bool>,
     /// It has had its answer before its request was read to the end.
     unread: Cell<bool>,
+    /// A request of it went to hyper, and its answer has not been taken yet.
+    taken: Cell<bool>,
     wake: Notify,
 }
 
@@ -146,6 +148,8 @@
     Idle,
     /// It is to close.
     Leaving,
+    /// The client has closed it while a request was in hand.
+    Gone,
 }
 
 impl Stage {
@@ -175,7 +179,7 @@
             Stage::New => FIRST_LEAST,
             Stage::Head | Stage::Late => HEAD_LEAST,
             Stage::Idle => IDLE_LEAST,
-            Stage::Busy | Stage::Passing | Stage::Leaving => return false,
+            Stage::Busy | Stage::Passing | Stage::Leaving | Stage::Gone => return false,
         };
         self.age() >= least && gate::quiet(&self.socket)
     }
@@ -196,6 +200,11 @@
                 stats.turned_down("nothing came");
                 self.leave();
             }
+            // Who has closed waits for nothing. Hyper sees that only where nothing stands before it.
+            Stage::Busy | Stage::Passing if gate::left(&self.socket) => {
+                self.stage.set(Stage::Gone);
+                self.wake.notify_one();
+            }
             Stage::Passing if age >= STALL => self.leave(),
             Stage::Idle if age >= idle && gate::quiet(&self.socket) => self.leave(),
             Stage::Head if age >= FIRST => {
@@ -228,10 +237,18 @@
             Stage::New => self.stage.set(Stage::Head),
             Stage::Idle => self.enter(Stage::Head),
             Stage::Late => return Err((StatusCode::REQUEST_TIMEOUT, "the head took too long")),
-            Stage::Head | Stage::Busy | Stage::Passing | Stage::Leaving => {}
+            Stage::Head | Stage::Busy | Stage::Passing | Stage::Leaving | Stage::Gone => {}
         }
         Ok(())
     }
+
+    fn passed(&self) {
+        self.taken.set(true);
+    }
+
+    fn busy(&self) -> bool {
+        self.taken.get()
+    }
 }
 
 impl Frontend {
@@ -345,6 +362,7 @@
             problem: Cell::new(None),
             malformed: Cell::new(false),
             unread: Cell::new(false),
+            taken: Cell::new(false),
             wake: Notify::new(),
         });
         let id = self.next_client.replace(self.next_client.get() + 1);
@@ -418,6 +436,9 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            if client.stage.get() == Stage::Gone {
+                return;
+            }
             if client.stage.get() == Stage::Leaving {
                 connection.as_mut().graceful_shutdown();
                 // Its last answer may still be on its way. A request that was read meanwhile is answered.
@@ -641,6 +662,7 @@
 
 impl Drop for ClientBody {
     fn drop(&mut self) {
+        self.client.iter().for_each(|c| c.taken.set(false));
         let client = self.client.iter().filter(|c| matches!(c.stage.get(), Stage::Busy | Stage::Passing));
         client.for_each(|c| c.enter(Stage::Idle));
     }
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -7,13 +7,14 @@
 use bytes::{Buf, BytesMut};
 use hyper::StatusCode;
 use socket2::SockRef;
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::task::{ready, Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Most that a body may hold, either way.
@@ -70,6 +71,13 @@
     }
     /// More than the message came with it. Hyper is told only when it reads on, which may be too late.
     fn more(&self) {}
+    /// A head was found good, and goes to hyper.
+    fn passed(&self) {}
+    /// What was let through is not answered yet: nothing more goes to hyper, which would not see the connection's end
+    /// behind it.
+    fn busy(&self) -> bool {
+        false
+    }
 }
 
 /// See the module's own words.
@@ -117,6 +125,7 @@
             Some(head) if self.interim + head.length <= MOST_HEAD => {
                 (self.pass, self.next) = (head.length, head.next);
                 self.interim = if head.next == Next::Head { self.interim + head.length } else { 0 };
+                self.guard.passed();
                 Ok(true)
             }
             None if self.held.len() < MOST_HEAD => Ok(false),
@@ -146,6 +155,15 @@
                 return Poll::Ready(Ok(()));
             }
             match me.next {
+                // All that is looked for is the connection's end. What comes is held, up to a head's length.
+                Next::Head if me.guard.busy() => {
+                    if me.held.len() >= MOST_HEAD {
+                        return Poll::Pending;
+                    }
+                    if ready!(me.fill(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                }
                 Next::Head => match me.find_head() {
                     Ok(true) => {}
                     Ok(false) if ready!(me.fill(cx))? == 0 => return Poll::Ready(Ok(())),
@@ -233,6 +251,13 @@
     SockRef::from(socket).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Whether the other side has closed a socket or reset it, also where unread bytes stand before that.
+pub fn left(socket: &TcpStream) -> bool {
+    let ready = std::pin::pin!(socket.ready(Interest::READABLE));
+    let known = ready.poll(&mut Context::from_waker(Waker::noop()));
+    matches!(known, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
 /// Reads a request's head.
 pub fn request_head(bytes: &[u8]) -> Result<Option<Head>, Problem> {
     let bad = |why| (StatusCode::BAD_REQUEST, why);
