Replace broken watches in time, read indented lists on them, wait for a first push

Three ways in which news that counts as told could miss the node, all in the network code's list side, found by reading and by tests on sockets:

- run_watch took each line for a list; an indented one is many lines, ended the watch as unusable, and so did the next.
Lists are now told apart by their braces, however they are cut.
What can't become JSON any more is an error at the next empty line, so that a list with a brace missing swallows no other for long.
Where lists are pushed what is known there binds at once: a try waits 0.3 s first, and twice as long each time.
- A new process sent by the list of its configuration while a pushed one was on its way.
It now takes its first request once that list is there, once discovery has turned it away, or after 0.6 s.
Lists on request bind by the last call: no change.

Tests: indented lists in pieces of 7 bytes; a watch that says nothing and one that is not answered, pushed and asked; news before a reset; first request against first list, discovery up and down. Seen to fail before: indented (never read), first list ("sent by the old list").

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,28 +1,38 @@
 //! The list of servers: its form on the wire, and the watch that follows its changes.
 
 use crate::engine::Engine;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
-/// An empty line is due every 2 s, and news counts as told 6 s after it came up: a watch that has been silent
-/// for this long is taken for dead, which leaves time to open the next.
-const SILENCE: Duration = Duration::from_secs(3);
+/// An empty line is due every 2 s, and what a silent watch misses counts as told 6 s after it fell silent. One that has
+/// been silent for this long is taken for dead: that leaves time for one more that answers and then says nothing, and
+/// for the next after it.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// For the connection to come up and the answer to begin, on request, where a call may have to wait for its turn; and
+/// the most for a whole list.
+const OPENING: Duration = SILENCE;
+/// The same where lists are pushed, for the first try: what is known there counts as told, watch or no watch. Each failed
+/// try doubles it, up to the other.
+const OPENING_PUSHED: Duration = Duration::from_millis(300);
 /// For the connection to come up.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Pauses before a broken watch is opened again: the first, and the longest.
 const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
+// A watch falls silent, the one in its place says nothing either, and the third has most of a second to answer.
+const _: () = assert!(2 * (SILENCE.as_millis() + PAUSE[0].as_millis()) <= 5300);
 /// The part of a pause that is left to chance.
 const JITTER: f64 = 0.5;
-/// Longest line that is taken in.
+/// Longest list that is taken in.
 const LONGEST_LINE: usize = 4 << 20;
 
 /// Servers, all of them or those that have changed.
@@ -101,8 +111,83 @@
     BadLine(String),
 }
 
+/// Takes a stream of JSON objects apart, however it is cut and indented.
+#[derive(Default)]
+struct Documents {
+    held: BytesMut,
+    /// So much of it was looked at ...
+    searched: usize,
+    /// ... with so many braces and brackets open there, ...
+    depth: usize,
+    /// ... and whether inside a string, and there behind a backslash.
+    string: bool,
+    escaped: bool,
+    /// Of what is not whole so much was found to be good JSON so far.
+    sound: usize,
+}
+
+impl Documents {
+    fn extend(&mut self, data: &[u8]) {
+        self.held.extend_from_slice(data);
+    }
+
+    /// The next whole one. What can't become one is an error at once, as far as that shows.
+    fn next(&mut self) -> Result<Option<BytesMut>, WatchError> {
+        while let Some(&byte) = self.held.get(self.searched) {
+            if self.depth == 0 && byte != b'{' {
+                if !byte.is_ascii_whitespace() {
+                    return Err(WatchError::BadLine("no list begins like this".to_owned()));
+                }
+                self.held.advance(1);
+                continue;
+            }
+            self.searched += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = self.string,
+                b'"' => self.string = !self.string,
+                b'{' | b'[' if !self.string => self.depth += 1,
+                b'}' | b']' if !self.string => self.depth -= 1,
+                // An empty line within one: the next line that says something may be another's.
+                b'\n' if self.after_empty_line() => self.check()?,
+                _ => {}
+            }
+            if self.depth == 0 {
+                let whole = self.held.split_to(std::mem::take(&mut self.searched));
+                self.sound = 0;
+                return Ok(Some(whole));
+            }
+        }
+        if self.held.len() > LONGEST_LINE {
+            return Err(WatchError::BadLine(format!("over {LONGEST_LINE} bytes")));
+        }
+        // Not each time: a long list may come a byte at a time.
+        if self.held.len() > 2 * self.sound {
+            self.check()?;
+        }
+        Ok(None)
+    }
+
+    fn after_empty_line(&self) -> bool {
+        let before = &self.held[..self.searched - 1];
+        before.iter().rfind(|b| !matches!(b, b' ' | b'\t' | b'\r')) == Some(&b'\n')
+    }
+
+    /// What has come of one has to be the beginning of some JSON.
+    fn check(&mut self) -> Result<(), WatchError> {
+        let begun = &self.held[..self.searched];
+        match serde_json::from_slice::<IgnoredAny>(begun) {
+            Err(error) if !error.is_eof() => Err(WatchError::BadLine(error.to_string())),
+            _ => {
+                self.sound = begun.len();
+                Ok(())
+            }
+        }
+    }
+}
+
 impl ServerList {
-    /// Reads one line.
+    /// Reads one list.
     pub fn parse(line: &[u8]) -> Result<Self, WatchError> {
         let list: ServerList =
             serde_json::from_slice(line).map_err(|e| WatchError::BadLine(e.to_string()))?;
@@ -115,12 +200,16 @@
 
 /// Keeps a watch open for good, for sites where lists are pushed.
 pub async fn follow(engine: Rc<Engine>) {
-    let mut pause = PAUSE[0];
+    let (mut pause, mut opening) = (PAUSE[0], OPENING_PUSHED);
     loop {
-        let before = engine.lists_taken();
-        let error = watch(&engine).await;
-        if engine.lists_taken() != before {
-            pause = PAUSE[0];
+        let before = engine.watches();
+        let error = watch(&engine, opening).await;
+        opening = (opening * 2).min(OPENING);
+        if engine.watches() != before {
+            (pause, opening) = (PAUSE[0], OPENING_PUSHED);
+        }
+        if !matches!(error, WatchError::Silent) {
+            engine.tried();
         }
         // Many nodes may have lost theirs at one moment.
         let wait = pause.mul_f64(1.0 - JITTER * engine.random());
@@ -130,18 +219,23 @@
     }
 }
 
-/// Opens one watch from the version held on and hands on what it brings until it ends.
-pub async fn watch(engine: &Rc<Engine>) -> WatchError {
+/// The same for one watch, where the balancer asks for it.
+pub async fn watch_once(engine: &Rc<Engine>) -> WatchError {
+    watch(engine, OPENING).await
+}
+
+/// Opens one watch from the version held on, which may take so long, and hands on what it brings until it ends.
+async fn watch(engine: &Rc<Engine>, opening: Duration) -> WatchError {
     let address = engine.discovery();
     if engine.needs_whole_list() {
         // The version held comes from another address and may mean anything here, also one that is newer.
-        match timeout(SILENCE, fetch(address)).await {
+        match timeout(OPENING, fetch(address)).await {
             Ok(Ok(list)) => engine.list(&list),
             Ok(Err(error)) => return error,
             Err(_) => return WatchError::Silent,
         }
     }
-    match run_watch(engine, address).await {
+    match run_watch(engine, address, opening).await {
         Ok(()) => WatchError::Ended,
         Err(error) => error,
     }
@@ -187,37 +281,30 @@
     }
 }
 
-async fn run_watch(engine: &Rc<Engine>, address: SocketAddr) -> Result<(), WatchError> {
+async fn run_watch(engine: &Rc<Engine>, address: SocketAddr, opening: Duration) -> Result<(), WatchError> {
+    let by = Instant::now() + opening;
     let (mut sender, connection) = http1::handshake(TokioIo::new(connect(address).await?)).await?;
     // The connection is driven here, so that nothing of it outlives the watch.
     let lines = async {
         let since = engine.revision();
         let request = request(address, &format!("?follow=1&since={since}"));
-        let response = timeout(SILENCE, sender.send_request(request)).await;
+        let response = timeout_at(by, sender.send_request(request)).await;
         let response = response.map_err(|_| WatchError::Silent)??;
         if response.status() != StatusCode::OK {
             return Err(WatchError::Status(response.status()));
         }
+        engine.watching();
         let mut body = response.into_body();
-        let mut held = BytesMut::new();
+        let mut held = Documents::default();
         loop {
             // A machine that vanishes leaves its connections open and silent: only the clock tells.
             let frame = timeout(SILENCE, body.frame()).await.map_err(|_| WatchError::Silent)?;
             let Some(frame) = frame else { return Ok(()) };
             let Ok(data) = frame?.into_data() else { continue };
-            let mut searched = held.len();
-            held.extend_from_slice(&data);
-            while let Some(end) = held[searched..].iter().position(|&b| b == b'\n') {
-                let line = held.split_to(searched + end + 1);
-                searched = 0;
-                let line = line.trim_ascii();
-                if !line.is_empty() {
-                    // After a bad line the next may rest on what it said: a new watch starts from the last good one.
-                    engine.list(&ServerList::parse(line)?);
-                }
-            }
-            if held.len() > LONGEST_LINE {
-                return Err(WatchError::BadLine(format!("over {LONGEST_LINE} bytes")));
+            held.extend(&data);
+            // After a bad one the next may rest on what it said: a new watch starts from the last good one.
+            while let Some(document) = held.next()? {
+                engine.list(&ServerList::parse(&document)?);
             }
         }
     };
@@ -227,3 +314,52 @@
         ended = connection => Err(ended.map_or_else(WatchError::Http, |()| WatchError::Ended)),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn taken(parts: &[&[u8]]) -> Result<Vec<String>, String> {
+        let (mut documents, mut all) = (Documents::default(), Vec::new());
+        for part in parts {
+            documents.extend(part);
+            while let Some(document) = documents.next().map_err(|e| e.to_string())? {
+                serde_json::from_slice::<IgnoredAny>(&document).map_err(|e| e.to_string())?;
+                all.push(String::from_utf8(document.to_vec()).expect("text"));
+            }
+        }
+        Ok(all)
+    }
+
+    #[test]
+    fn lists_are_told_apart_however_they_are_cut_and_indented() {
+        let one = "{\n  \"id\": \"a}]\\\"{\",\n  \"of\": [\n    {}\n  ]\n}";
+        let stream = format!("\n{one}\n\r\n{{\"b\":1}}{one}\n\n");
+        let wanted = [one, "{\"b\":1}", one];
+        assert_eq!(taken(&[stream.as_bytes()]).expect("lists"), wanted);
+        for at in 0..stream.len() {
+            let (a, b) = stream.as_bytes().split_at(at);
+            assert_eq!(taken(&[a, b]).expect("lists"), wanted, "cut at {at}");
+        }
+        let bytes: Vec<&[u8]> = stream.as_bytes().chunks(1).collect();
+        assert_eq!(taken(&bytes).expect("lists"), wanted);
+    }
+
+    /// Also where braces are missing, lest the lists that follow are held for ever.
+    #[test]
+    fn what_is_no_list_is_an_error_before_it_ends() {
+        for bad in ["x", "]", "[1]", "{x", "{\"a\":}", "{\"a\":[1}", "{\"a\":1,\n\"b\":tru\n\n", "{\"a\" {"] {
+            assert!(taken(&[bad.as_bytes()]).is_err(), "{bad}");
+        }
+        let swallowed =
+            ["{\"revision\":1,\"members\":[", "\n", "{\"revision\":2,\"members\":[]}\n", "\n", "\n"];
+        let bytes: Vec<&[u8]> = swallowed.iter().map(|s| s.as_bytes()).collect();
+        assert!(matches!(taken(&bytes), Ok(all) if all.is_empty()));
+        let bytes: Vec<&[u8]> = [swallowed.as_slice(), &["{\"revision\":3}\r\n", " \r\n"]]
+            .concat()
+            .iter()
+            .map(|s| s.as_bytes())
+            .collect();
+        assert!(taken(&bytes).is_err());
+    }
+}
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -146,6 +146,8 @@
     state: RefCell<State>,
     revision: Cell<u64>,
     lists_taken: Cell<u64>,
+    tried: Cell<bool>,
+    watches: Cell<u64>,
     servers_listed: Cell<bool>,
 }
 
@@ -188,6 +190,8 @@
             state: RefCell::new(state),
             revision: Cell::new(0),
             lists_taken: Cell::new(0),
+            tried: Cell::new(false),
+            watches: Cell::new(0),
             servers_listed: Cell::new(false),
         }))
     }
@@ -218,9 +222,27 @@
         self.revision.get()
     }
 
-    /// How many lists discovery has sent.
-    pub fn lists_taken(&self) -> u64 {
-        self.lists_taken.get()
+    /// Where lists are pushed they bind from the start: whether one has come, or can't be had.
+    pub fn informed(&self) -> bool {
+        self.asked || self.lists_taken.get() > 0 || self.tried.get()
+    }
+
+    /// A first watch has been turned away: there is nothing to wait for.
+    pub fn tried(&self) {
+        self.tried.set(true);
+    }
+
+    /// A watch is open, though it may bring nothing for long.
+    pub fn watching(&self) {
+        self.watches.set(self.watches.get() + 1);
+        if self.asked {
+            self.feed(Event::List { kind: ListKind::Changes, entries: Vec::new() });
+        }
+    }
+
+    /// How many watches have been opened.
+    pub fn watches(&self) -> u64 {
+        self.watches.get()
     }
 
     /// Whether a list is held that names a server.
@@ -658,7 +680,7 @@
             if !asked {
                 discovery::follow(engine.clone()).await;
             }
-            let error = discovery::watch(&engine).await;
+            let error = discovery::watch_once(&engine).await;
             engine.log(format_args!("watch: {error}"));
             engine.feed(Event::List { kind: ListKind::Failed, entries: Vec::new() });
         });
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -41,7 +41,9 @@
 const REQUEST_MEMORY: usize = 200 << 10;
 /// How often a process looks for another of its node, and for what that one was told.
 const LOOK: Duration = Duration::from_millis(100);
-/// The same for whether it can serve.
+/// Where lists are pushed, a new process waits so long for its first before it goes by the one of its configuration.
+const FIRST_LIST: Duration = Duration::from_millis(600);
+/// How often it looks whether it can serve.
 const UNREADY: Duration = Duration::from_millis(10);
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
@@ -171,6 +173,11 @@
     }
     let (serving, beside, ready) = (frontend.clone(), keeper.clone(), engine.clone());
     let served = spawn_local(async move {
+        // A request that is read now would go by a list that may be old.
+        let by = tokio::time::Instant::now() + FIRST_LIST;
+        while !ready.informed() && tokio::time::Instant::now() < by {
+            tokio::time::sleep(UNREADY).await;
+        }
         // While this process has no list, the one beside it can serve what comes.
         while inherited && !ready.ready() && beside.accompanied() {
             tokio::time::sleep(UNREADY).await;
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -258,6 +258,110 @@
     watch.0.closed().await;
 }
 
+/// One that takes the place of a silent one may be answered and say nothing, or not be answered at all.
+#[tokio::test]
+async fn a_watch_that_says_nothing_or_is_not_answered_is_given_up() {
+    let server = Peer::new().await;
+    for asked in [false, true] {
+        let discovery = Peer::new().await;
+        let mut settings = settings();
+        settings["registry_mode"] = json!(if asked { "subscribe" } else { "automatic" });
+        let node = Node::with(&discovery, settings, 1024).await;
+        let (mut first, _) = discovery.watch().await;
+        first.list(1, true, &[member("s", server.address(), "active")]).await;
+        node.ready().await;
+        let (mut mute, _) = discovery.watch().await;
+        let (mut unanswered, _) = discovery.request().await;
+        let (mut last, request) = discovery.watch().await;
+        assert_eq!(request, "GET /registry/instances?follow=1&since=1 HTTP/1.1");
+        first.0.closed().await;
+        mute.0.closed().await;
+        unanswered.closed().await;
+        last.list(2, false, &[member("s", server.address(), "leaving")]).await;
+        node.holds(2).await;
+    }
+}
+
+/// What a watch brought before its end is heeded, however it ends.
+#[tokio::test]
+async fn what_came_before_a_reset_is_heeded() {
+    let server = Peer::new().await;
+    let (node, _discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    watch.list(2, false, &[member("s", server.address(), "leaving")]).await;
+    watch.0.reset();
+    node.holds(2).await;
+}
+
+/// Indented lists are lists, on a watch too, and wherever they are cut.
+#[tokio::test]
+async fn indented_lists_are_read_on_the_watch() {
+    let server = Peer::new().await;
+    let (node, _discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    let indented = |revision: u64| {
+        let list = json!({"revision": revision, "complete": false, "members": [member("s", server.address(), "leaving")]});
+        serde_json::to_string_pretty(&list).expect("a list")
+    };
+    watch.line(&indented(2)).await;
+    watch.line("").await;
+    node.holds(2).await;
+    let list = indented(3) + "\n";
+    for part in list.as_bytes().chunks(7) {
+        let part = std::str::from_utf8(part).expect("text");
+        watch.0.write(&format!("{:x}\r\n{part}\r\n", part.len())).await;
+    }
+    node.holds(3).await;
+}
+
+/// Where lists are pushed they bind a process from its first moment: the list of its configuration may be old.
+#[tokio::test]
+async fn a_new_process_waits_for_the_pushed_list() {
+    let (old, new) = (Peer::new().await, Peer::new().await);
+    let discovery = Peer::new().await;
+    let config = json!({
+        "name": "n", "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(), "seed": "1f", "settings": settings(),
+        "known": {"revision": 7, "complete": true, "members": [member("old", old.address(), "active")]},
+    });
+    let members = [member("old", old.address(), "leaving"), member("new", new.address(), "active")];
+    let pushing = async {
+        let (mut watch, _) = discovery.watch().await;
+        watch.list(8, true, &members).await;
+        watch
+    };
+    let asking = async {
+        let node = Node::told(config, &[]).await;
+        let mut client = node.client().await;
+        client.send("unsafe", "20000m").await;
+        (node, client)
+    };
+    // Asked first, told after that.
+    let ((node, mut client), _watch) = (asking.await, pushing.await);
+    let (mut wire, _) = tokio::select! {
+        got = new.request() => got,
+        _ = old.request() => panic!("sent by the old list"),
+    };
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    drop(node);
+}
+
+/// Where discovery can't be reached the known list serves.
+#[tokio::test]
+async fn a_new_process_goes_by_the_known_list_where_discovery_is_down() {
+    let server = Peer::new().await;
+    let down = Peer::new().await;
+    let config = json!({
+        "name": "n", "listen": "127.0.0.1:0", "discovery": down.address().to_string(), "seed": "1f", "settings": settings(),
+        "known": {"revision": 7, "complete": true, "members": [member("s", server.address(), "active")]},
+    });
+    drop(down);
+    let node = Node::told(config, &[]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
+
 #[tokio::test]
 async fn a_failed_or_broken_watch_is_opened_again() {
     let server = Peer::new().await;
