Open a broken watch anew at once, back off only while calls fail

With 2.5 s to notice a silent watch that is past the 6 s at which its news counts as told. At fault: Balancer::list, which knew no failed call from a broken watch. Now the first wait is a part of 0.25 s, doubled by each call that fails from then on, up to the old spread; the first call of a process keeps the old spread, since all nodes may start together.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,6 +50,7 @@
 const HEAVY_PART: f64 = 0.25; // part of it that one request may take
 const RETRY_EARN: f64 = 0.2; // further attempts that each request earns (retry budget) ...
 pub(crate) const RETRY_MOST: f64 = 10.0; // ... and the most saved up
+const ASK_AGAIN: f64 = 0.25; // s within which a broken watch is opened anew, doubled by each failed call
 const PROBES: usize = 5; // for one request: each adds to the chance of an idle server, and to the bill
 const IN_TIME: f64 = 0.85; // estimated over real waits at their worst: others' work and speeds vary
 const FRESH: f64 = 0.3; // latencies for which a probe's answer, own sends since counted in, needs no other
@@ -89,12 +90,20 @@
 
     // ---- the list ----
     fn list(&mut self, now: Time, kind: ListKind, entries: &[ServerEntry], actions: &mut Vec<Action>) {
-        // Where lists come on request, calls are spread at random: all nodes may have started together, and a
-        // failed call means that discovery is busy. The last list stays valid.
+        // Where lists come on request, calls are spread at random: all nodes may have started together, and
+        // calls that fail in a row mean that discovery is busy. A watch that has served and broken is opened
+        // anew soon: what it misses counts as told. The last list stays valid.
         if self.settings.list_on_request && matches!(kind, ListKind::Cached | ListKind::Failed) {
             let spread = self.settings.rules.ask_within.as_secs_f64().clamp(1.0, 30.0) / 5.0;
-            let wait = self.random() * spread;
+            let most = match kind {
+                ListKind::Failed => (ASK_AGAIN * f64::from(1u32 << self.list_failures.min(16))).min(spread),
+                _ => spread,
+            };
+            let wait = self.random() * most;
+            self.list_failures = self.list_failures.saturating_add(u32::from(kind == ListKind::Failed));
             self.list_timer = Some(self.set_timer(now, wait, actions));
+        } else {
+            self.list_failures = 0;
         }
         if kind != ListKind::Failed {
             self.take_list(now, kind, entries);
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -439,6 +439,31 @@
     assert!(sent(&mut b, at(100), 2).is_some());
 }
 
+/// What a broken watch misses counts as told within seconds, however seldom lists have to be asked for. Only calls that
+/// fail in a row are spread ever wider.
+#[test]
+fn a_watch_that_has_served_is_opened_anew_at_once() {
+    for seed in 0..50 {
+        let mut settings = Settings { list_on_request: true, ..settings() };
+        settings.rules.ask_within = Duration::from_secs(30);
+        let mut b = Balancer::new(settings, seed, at(0)).expect("sound settings");
+        b.handle(at(0), list(3), &mut vec![]);
+        let wait = |b: &mut Balancer| {
+            let mut actions = vec![];
+            b.handle(at(0), Event::List { kind: ListKind::Failed, entries: vec![] }, &mut actions);
+            match actions[..] {
+                [Action::SetTimer { at: then, .. }] => (then - at(0)).as_secs_f64(),
+                _ => panic!("{actions:?}"),
+            }
+        };
+        for most in [0.25, 0.5, 1.0, 2.0, 4.0, 6.0, 6.0] {
+            assert!(wait(&mut b) <= most, "seed {seed}, {most}");
+        }
+        b.handle(at(0), list(3), &mut vec![]);
+        assert!(wait(&mut b) <= 0.25, "seed {seed}");
+    }
+}
+
 /// Placement: shares are solved over the open servers only, and nothing else is drawn, also when all of those are
 /// down or were tried.
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -315,6 +315,8 @@
     pub(crate) choosing: Vec<(RequestId, TimerId)>,
     pub(crate) next_timer: u32,
     pub(crate) list_timer: Option<TimerId>,
+    /// Calls for lists that failed since one last came.
+    pub(crate) list_failures: u32,
     pub(crate) latency: f64,
     pub(crate) probe_latency: f64,
     /// Part of the new connections that fail, of late.
@@ -359,6 +361,7 @@
             choosing: Vec::new(),
             next_timer: 0,
             list_timer: None,
+            list_failures: 0,
             latency: (aims.fold(f64::MAX, f64::min) / 2.0).max(1e-3),
             probe_latency: 0.003,
             refused: 0.0,
