Answer what is half there at SIGTERM, and let large answers outlast it

Seen, by three tests with the crossing forced: - a head of which half has come when the node closes is cut off. The gate holds it, so that hyper took the connection for idle and closed it at graceful_shutdown; - a request written to a kept connection while the node was stopped, past the closing: both were noticed in one turn, the closing won, and the request was lost; - a large answer is cut at the longest deadline plus 0.1 s (main.rs), and one that began on a connection that was to close, 1 s after that (frontend.rs).

Closing is now left to the look at all connections: it takes those with nothing under way and nothing unread, looks once more just before, and reads off what crosses all the same, so that no unread bytes turn the close into a reset. The listener stays 0.1 s longer than idle connections, for clients that come again. The process waits up to 30 s more for what is in hand; where nothing is, it ends as before. A second SIGTERM and a SIGHUP after it change nothing: tested along.

--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -64,7 +64,7 @@
 const EVICTED_PART: usize = 8;
 /// Where fewer places than this part are free, answers tell clients to close.
 const SPARE_PART: usize = 4;
-/// For what is under way on a connection that is to end.
+/// For what is on its way on a connection that is to end, or to the listener.
 const LAST_CHANCE: Duration = Duration::from_millis(100);
 /// No client waits for longer.
 const LONGEST_WAIT: Duration = Duration::from_secs(3600);
@@ -128,6 +128,8 @@
     unread: Cell<bool>,
     /// A request of it went to hyper, and its answer has not been taken yet.
     taken: Cell<bool>,
+    /// Where it stood when it was to close.
+    left: Cell<Stage>,
     wake: Notify,
 }
 
@@ -185,16 +187,30 @@
     }
 
     fn leave(&self) {
+        self.left.set(self.stage.get());
         self.enter(Stage::Leaving);
         self.wake.notify_one();
     }
 
+    /// Whether bytes have come since it was to close for having nothing to say.
+    fn crossed(&self) -> bool {
+        matches!(self.left.get(), Stage::New | Stage::Head | Stage::Idle) && !gate::quiet(&self.socket)
+    }
+
     /// Ends what has taken too long.
     fn sweep(&self, phase: Phase, stats: &Stats) {
         let (stage, age) = (self.stage.get(), self.age());
         // In a drain each answer says to close: who is idle has been so since before.
-        let idle = if phase == Phase::Serving { IDLE } else { IDLE_LEAST };
+        let idle = match phase {
+            Phase::Serving => IDLE,
+            Phase::Draining | Phase::Leaving | Phase::HandingOver => IDLE_LEAST,
+            Phase::Closing => Duration::ZERO,
+        };
         match stage {
+            // What comes with a connection needs a moment. A request that has begun is answered, and told to close.
+            Stage::New if phase == Phase::Closing && age >= LAST_CHANCE && gate::quiet(&self.socket) => {
+                self.leave();
+            }
             // Never one on which a request has come that was not read yet.
             Stage::New if age >= FIRST => {
                 stats.turned_down("nothing came");
@@ -283,7 +299,11 @@
         });
         let mut phase = self.phase.clone();
         let mut closing = std::pin::pin!(async move {
-            let _ = phase.wait_for(|p| *p >= Phase::HandingOver).await;
+            let ending = phase.wait_for(|p| *p >= Phase::HandingOver).await.map_or(Phase::Closing, |p| *p);
+            // Whose request crosses the closing of an idle connection comes again, and finds a listener.
+            if ending == Phase::Closing {
+                tokio::time::sleep(LAST_CHANCE).await;
+            }
         });
         loop {
             // Not given up when the node closes: what the system has taken for us may hold requests, and would be
@@ -315,6 +335,12 @@
         sweeper.abort();
     }
 
+    /// Whether a request is in hand, or an answer on its way.
+    pub fn in_hand(&self) -> bool {
+        let busy = |c: &Rc<Client>| matches!(c.stage.get(), Stage::Head | Stage::Busy | Stage::Passing);
+        self.clients.borrow().values().any(busy)
+    }
+
     /// From now on it takes at most so many.
     pub fn resize(&self, connections: usize) {
         self.slots.resize(connections);
@@ -363,6 +389,7 @@
             malformed: Cell::new(false),
             unread: Cell::new(false),
             taken: Cell::new(false),
+            left: Cell::new(Stage::New),
             wake: Notify::new(),
         });
         let id = self.next_client.replace(self.next_client.get() + 1);
@@ -418,38 +445,30 @@
             .max_buf_size(MOST_BUFFERED)
             .serve_connection(TokioIo::new(Gate::new(client.socket.clone(), client.clone())), service);
         let mut connection = std::pin::pin!(connection);
-        let mut phase = self.phase.clone();
-        let mut told = false;
         loop {
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => break, // Its errors are the client's: it left or spoke no HTTP.
                 () = client.wake.notified() => {}
-                _ = phase.wait_for(|p| *p == Phase::Closing), if !told => {
-                    told = true;
-                    // A request may have come with the connection and not have been read yet. Hyper would close on it.
-                    if client.stage.get() == Stage::New
-                        && timeout(LAST_CHANCE, connection.as_mut()).await.is_ok()
-                    {
-                        break;
-                    }
-                    connection.as_mut().graceful_shutdown();
-                }
             }
             if client.stage.get() == Stage::Gone {
                 return;
             }
             if client.stage.get() == Stage::Leaving {
+                if client.crossed() {
+                    client.stage.set(client.left.get());
+                    continue;
+                }
                 connection.as_mut().graceful_shutdown();
                 // Its last answer may still be on its way. A request that was read meanwhile is answered.
                 while timeout(LAST_WRITES, connection.as_mut()).await.is_err()
-                    && client.stage.get() == Stage::Busy
+                    && matches!(client.stage.get(), Stage::Busy | Stage::Passing)
                 {}
                 break;
             }
         }
         // Closing on unread bytes would reset the connection, and might take the word about them from the client.
-        if client.malformed.get() {
+        if client.malformed.get() || client.stage.get() == Stage::Leaving && client.crossed() {
             let _ = timeout(LINGER, discard(&client.socket, MOST_LINGERING)).await;
         }
         if client.unread.get() {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -34,6 +34,8 @@
 const LEAVE: Duration = Duration::from_millis(500);
 /// Beyond the longest deadline, for the last answers to be written.
 const LAST_WRITES: Duration = Duration::from_millis(100);
+/// Beyond that, for large messages on their way: nobody waits for a process for ever.
+const LAST_LARGE: Duration = Duration::from_secs(30);
 /// Descriptors for all that is no client and no backend: standard streams, listener, discovery, the runtime.
 const RESERVED_SOCKETS: usize = 32;
 /// Most that one request may hold: its body and answer, and the buffers of both connections. Measured with bodies of the
@@ -171,6 +173,7 @@
             }
         });
     }
+    let ending = frontend.clone();
     let (serving, beside, ready) = (frontend.clone(), keeper.clone(), engine.clone());
     let served = spawn_local(async move {
         // A request that is read now would go by a list that may be old.
@@ -193,8 +196,14 @@
     phase.send_replace(if handing_over { Phase::HandingOver } else { Phase::Leaving });
     tokio::time::sleep(LEAVE).await;
     phase.send_replace(Phase::Closing);
-    // What was taken last is due within the longest deadline.
-    let _ = tokio::time::timeout(longest + LAST_WRITES, served).await;
+    // What was taken last is due within the longest deadline. Large messages take the time that their peers need.
+    let mut served = std::pin::pin!(served);
+    if tokio::time::timeout(longest + LAST_WRITES, served.as_mut()).await.is_err() {
+        let by = tokio::time::Instant::now() + LAST_LARGE;
+        while ending.in_hand() && tokio::time::Instant::now() < by && !served.is_finished() {
+            tokio::time::sleep(UNREADY).await;
+        }
+    }
     engine.log(format_args!("left"));
     Ok(())
 }
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -241,6 +241,66 @@
     assert!(node.exited().await.success());
 }
 
+/// A head or a body may be half there when the node ends, on a kept connection too. Further signals change nothing.
+#[tokio::test]
+async fn what_is_half_there_at_the_end_is_answered() {
+    let server = Peer::new().await;
+    let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let head = |id: &str| {
+        format!("POST /unsafe HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n")
+    };
+    let (mut new, mut kept, mut body) = (node.client().await, node.client().await, node.client().await);
+    kept.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "Connection: close\r\n", "").await;
+    assert_eq!(kept.read().await.expect("an answer").status(), 200);
+    let mut idle = node.client().await;
+    new.write(&head("new")[..30]).await;
+    kept.write(&head("kept")[..30]).await;
+    body.write(&(head("body") + "Content-Length: 4\r\n\r\nab")).await;
+    node.get("/health/live").await; // They have been read by now.
+    node.signal("TERM").await;
+    node.logged("leaving").await;
+    idle.closed().await;
+    node.signal("TERM").await;
+    node.signal("HUP").await;
+    new.write(&(head("new")[30..].to_owned() + "\r\n")).await;
+    kept.write(&(head("kept")[30..].to_owned() + "\r\n")).await;
+    body.write("cd").await;
+    for _ in 0..3 {
+        let (mut wire, _) = server.request().await;
+        wire.answer("200 OK", "Connection: close\r\n", "").await;
+    }
+    for mut client in [new, kept, body] {
+        let answer = client.read().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        client.closed().await;
+    }
+    assert!(node.exited().await.success());
+}
+
+/// A request on a kept connection and the closing of that connection are noticed in one turn.
+#[tokio::test]
+async fn a_request_that_crosses_the_closing_is_answered() {
+    let server = Peer::new().await;
+    let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut kept = node.client().await;
+    kept.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "Connection: close\r\n", "").await;
+    assert_eq!(kept.read().await.expect("an answer").status(), 200);
+    node.signal("TERM").await;
+    node.logged("leaving").await;
+    node.signal("STOP").await;
+    kept.send("unsafe", "20000m").await;
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await; // It is past the closing when it goes on.
+    node.signal("CONT").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "Connection: close\r\n", "").await;
+    assert_eq!(kept.read().await.expect("an answer").status(), 200);
+    assert!(node.exited().await.success());
+}
+
 /// What waits for a place when the node is told to end has been taken by its machine: closing on it loses a request.
 #[tokio::test]
 async fn clients_in_the_queue_are_served_at_the_end() {
--- a/node/tests/large.rs
+++ b/node/tests/large.rs
@@ -321,3 +321,31 @@
     tokio::join!(writing, answering);
     assert_eq!(client.read().await.expect("an answer").body, b"done");
 }
+
+/// A large answer on its way when the node ends comes whole, though that takes longer than any deadline.
+#[tokio::test]
+async fn a_large_answer_outlasts_the_signal() {
+    let server = Peer::new().await;
+    let discovery = Peer::new().await;
+    let mut settings = settings();
+    for class in 0..3 {
+        settings["profiles"][class]["deadline_ns"] = serde_json::json!(200_000_000);
+    }
+    let mut node = Node::with(&discovery, settings, 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("s", server.address(), "active")]).await;
+    node.ready().await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    let body = text(300_000);
+    let (begun, rest) = body.split_at(100_000);
+    wire.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{begun}", body.len())).await;
+    node.signal("TERM").await;
+    node.logged("leaving").await;
+    // Past the deadline and all that is added to it. Were the machine slower, the test would only see less.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let ((), (_, read)) = tokio::join!(wire.write(rest), client.read_large());
+    assert!(read.as_deref() == Some(body.as_bytes()));
+    assert!(node.exited().await.success());
+}
