Serve by cold backends where the settings give no time for their fall

Seen by starting a node with each figure of the settings at 0, 1 and the largest: none panics, what makes no sense is refused in one line, and all but one are followed. With overload_for_ns 0 a fleet that has just started is refused all requests for its whole warm-up. At fault: Balancer::open, where a heavy request's part of a cold budget became 0. No time for a fall is no budget now.

Test: 50 requests at three cold servers; all refused before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -439,8 +439,9 @@
         let class = &self.settings.classes[usize::from(r.class.0)];
         let rules = &self.settings.rules;
         let warmth = s.warmth(rules, now);
-        // One heavy request can spend a cold server's whole budget.
-        let budget = HEAVY_PART * rules.fall_multiple * rules.fall_time.as_secs_f64() * warmth;
+        // One heavy request can spend a cold server's whole budget. Without a time for it there is none.
+        let within = if rules.fall_time.is_zero() { f64::INFINITY } else { rules.fall_time.as_secs_f64() };
+        let budget = HEAVY_PART * rules.fall_multiple * within * warmth;
         if s.state != ServerState::Ready
             || !placed(class, s)
             || r.attempts.iter().any(|a| a.server == s.id)
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -429,6 +429,27 @@
     assert_eq!(bad(|_| ()), "");
 }
 
+/// A rule without a time binds nobody: a fleet of cold servers serves all the same.
+#[test]
+fn without_a_fall_time_cold_servers_serve() {
+    let mut settings = settings();
+    settings.rules.fall_time = Duration::ZERO;
+    let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+    let Event::List { kind, mut entries } = list(3) else { panic!("a list") };
+    entries.iter_mut().for_each(|e| e.started = Some(at(1)));
+    b.handle(at(1), Event::List { kind, entries }, &mut vec![]);
+    let mut actions = vec![];
+    for k in 0..50 {
+        let Event::Arrival(a) = arrival(k, 0) else { panic!("an arrival") };
+        b.handle(
+            at(2 + k),
+            Event::Arrival(Arrival { work: Some(Duration::from_millis(5)), ..a }),
+            &mut actions,
+        );
+    }
+    assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })), "{actions:?}");
+}
+
 #[test]
 fn empty_list_refuses_and_recovers() {
     let mut b = balancer(0);
