--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -83,6 +83,47 @@
     }
 }
 
+/// With no second copies allowed, the connection of a spoilt or broken attempt is closed before the next one is written: not
+/// for an instant are there two.
+#[tokio::test]
+async fn a_spoilt_attempt_is_closed_before_the_next_is_written() {
+    for spoilt in ["no HTTP\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab"] {
+        let (one, two) = (Peer::new().await, Peer::new().await);
+        let (node, _discovery, _watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+        let mut client = node.client().await;
+        client.send("keyed", "20000m").await;
+        let ((mut first, _), other) = tokio::select! {
+            got = one.request() => (got, &two),
+            got = two.request() => (got, &one),
+        };
+        first.write(spoilt).await;
+        let (mut second, _) = other.request().await;
+        // Asked without waiting: what is closed later shows as open.
+        assert!(first.at_end(), "both are out after {spoilt:?}");
+        second.answer("200 OK", "", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+    }
+}
+
+/// A body of which a part was written, and the connection then broke, is no proof of anything where all of it may have come.
+#[tokio::test]
+async fn an_unsafe_request_is_not_repeated_after_a_reset_in_the_middle() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    for answered in ["", "HTTP/1.1 1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"] {
+        let (node, _discovery, _watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+        let mut client = node.client().await;
+        client.with_body("r", &"x".repeat(60_000)).await;
+        let ((mut wire, _), other) = tokio::select! {
+            got = one.request() => (got, &two),
+            got = two.request() => (got, &one),
+        };
+        wire.write(answered).await;
+        wire.reset();
+        assert_eq!(client.read().await.expect("an answer").status(), 504, "{answered:?}");
+        assert!(other.untouched().await, "sent again after {answered:?}");
+    }
+}
+
 /// A refused connection carried nothing, so that even an unsafe request may be refused: the client may come again.
 #[tokio::test]
 async fn a_refused_connection_never_ran() {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -99,14 +99,11 @@
         self.0.get_ref().set_zero_linger().expect("a socket to reset");
     }
 
-    /// What has come by now, and whether the other side has closed: asked without waiting.
+    /// Whether the other side has closed it by now, asked of the system and without waiting.
     pub fn at_end(&self) -> bool {
-        let mut byte = [0];
-        matches!(self.0.get_ref().try_read(&mut byte), Ok(0)) || self.broken()
-    }
-
-    fn broken(&self) -> bool {
-        SockRef::from(self.0.get_ref()).take_error().is_ok_and(|e| e.is_some())
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = SockRef::from(self.0.get_ref()).peek(&mut byte);
+        !peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
     pub async fn write(&mut self, text: &str) {
