Shed earlier where no report tells load: an answer's time speaks late

From the cut at 5 s on half of the requests are refused and p50 grows from 45 to 340 ms, long after the cut: backends were pushed past what they can do and stay slow. O's backends tell no load, so that what an attempt meets is its time over the aim, and nothing is shed before that takes the whole aim.

So it is for sites without.

S has reports: nothing changes there.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,7 @@
 pub(crate) const TENANT_WINDOW: f64 = 5.0; // s for tenants: at low rates a shorter one is all chance
 pub(crate) const PART_WINDOW: f64 = 10.0; // s over which this node's part of all traffic is learnt
 const SHED: f64 = 1.0; // load met by a blind node's attempts, waits included, above which arrivals are shed
+const SHED_UNTOLD: f64 = 0.7; // the same where no report tells load: an answer's time speaks late
 const SHED_STEP: f64 = 2.0; // e-folds of what is let in, per s and unit of excess load
 const SHED_TIME: f64 = 0.5; // s that one attempt speaks for, at most
 const SHED_MOST: f64 = 0.98; // the rest goes on asking whether servers are well again
@@ -364,10 +365,12 @@
     /// Moves the shed part of a class's arrivals by what one attempt met; without news it drifts back slowly.
     fn weigh(&mut self, now: Time, class: usize, load: f64) {
         let leader = self.markets[class].leader;
+        let untold = self.settings.reports == Reports::Absent;
+        let most = if untold { SHED_UNTOLD } else { SHED };
         let m = &mut self.markets[leader];
         let time = (now - m.weighed).as_secs_f64().min(SHED_TIME);
         m.weighed = now;
-        m.refused = 1.0 - (1.0 - m.refused) * (-SHED_STEP * time * (load - SHED)).exp();
+        m.refused = 1.0 - (1.0 - m.refused) * (-SHED_STEP * time * (load - most)).exp();
         m.refused = m.refused.clamp(0.0, SHED_MOST);
     }
 
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -644,6 +644,29 @@
     assert!(shed(30.0) > 0.5, "a queue as long as the aim is an overload");
 }
 
+/// Where no report tells load an answer's time is all that speaks, and by the time that it takes the whole aim the servers
+/// are long past what they can do: arrivals are shed before that. A report that tells of room is believed.
+#[test]
+fn without_reports_slow_answers_shed_before_they_take_the_aim() {
+    let shed = |reports: Reports, part: f64| {
+        let settings = Settings { reports_rate: false, reports, ..settings() };
+        let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+        b.handle(at(0), list(40), &mut vec![]);
+        let latency = Duration::from_secs_f64(b.aim(ClassId(0), None) * part);
+        for k in 0..200 {
+            let now = at(20 * k);
+            let Some(server) = sent(&mut b, now, k) else { continue };
+            let told = (reports != Reports::Absent).then(|| report(0.5, 0.0));
+            let end = Ended { latency, report: told, ..plain_end(k, server, Outcome::Served) };
+            b.handle(now, Event::Ended(end), &mut vec![]);
+        }
+        b.markets[0].refused
+    };
+    assert!(shed(Reports::Absent, 0.85) > 0.3, "{}", shed(Reports::Absent, 0.85));
+    assert_eq!(shed(Reports::Absent, 0.5), 0.0);
+    assert_eq!(shed(Reports::WithAnswers, 0.85), 0.0);
+}
+
 /// Incident inc5571: with 0.85 as the most, half of the tries were shed by servers that turned nobody away and answered in
 /// time. Arrivals are shed where busy part and wait together are more than a whole capacity.
 #[test]
