--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -662,8 +662,8 @@
         }
         b.markets[0].refused
     };
-    assert!(shed(Reports::Absent, 0.85) > 0.3, "{}", shed(Reports::Absent, 0.85));
-    assert_eq!(shed(Reports::Absent, 0.5), 0.0);
+    assert!(shed(Reports::Absent, 0.65) > 0.3, "{}", shed(Reports::Absent, 0.65));
+    assert_eq!(shed(Reports::Absent, 0.4), 0.0);
     assert_eq!(shed(Reports::WithAnswers, 0.85), 0.0);
 }
 
