Force four more crossings in tests: drains, idle closes, late answers, SIGTERM

The program passes them as it was, which rules these suspects out: a drain told before a repeat, after a proof that nothing ran and after an error of a safe class; a backend that closes an idle connection, or sends a second answer on it, in the turn in which the next request comes; SIGHUP and SIGTERM during a drain while a backend hangs.

--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -151,6 +151,32 @@
     }
 }
 
+/// A server closes an idle connection, or sends more on it, in the moment in which the next request comes: both are noticed in
+/// one turn.
+#[tokio::test]
+async fn a_connection_closed_as_the_next_request_comes_is_not_used() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    for late in ["", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"] {
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = server.request().await;
+        wire.answer("200 OK", "", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+        tokio::time::sleep(Duration::from_millis(50)).await; // It rests first.
+        node.signal("STOP").await;
+        wire.write(late).await;
+        if late.is_empty() {
+            drop(wire);
+        }
+        client.send("unsafe", "20000m").await;
+        node.signal("CONT").await;
+        let (mut wire, _) = server.request().await;
+        wire.answer("200 OK", "Connection: close\r\n", "own").await;
+        assert_eq!(client.read().await.expect("an answer").body, b"own");
+    }
+}
+
 #[tokio::test]
 async fn a_connection_is_used_again() {
     let server = Peer::new().await;
--- a/node/tests/console.rs
+++ b/node/tests/console.rs
@@ -197,3 +197,25 @@
         assert!(said.contains(why), "{said}");
     }
 }
+
+/// SIGTERM during a drain, while a backend hangs: what was taken gets its final answer, and the process ends.
+#[tokio::test]
+async fn a_signal_during_a_drain_leaves_nothing_unanswered() {
+    let server = Peer::new().await;
+    let (mut node, _discovery, _watch) = Node::operated(&[("s", &server)]).await;
+    let (mut hung, mut served) = (node.client().await, node.client().await);
+    hung.send("unsafe", "1500m").await;
+    let (_wire, _) = server.request().await;
+    served.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    assert_eq!(node.call("POST", "/healthcheck/fail").await, 200);
+    node.signal("HUP").await;
+    node.signal("TERM").await;
+    node.logged("leaving").await;
+    let answer = hung.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (504, Some("close")));
+    wire.answer("200 OK", "", "").await;
+    let answer = served.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(node.exited().await.success());
+}
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -417,3 +417,23 @@
     }
     assert_ne!(pauses[..3], pauses[3..]);
 }
+
+/// A drain told while a request waits for its first attempt's end binds the next attempt.
+#[tokio::test]
+async fn a_drain_told_before_a_repeat_binds_it() {
+    for outcome in ["X-Not-Processed: 1\r\n", ""] {
+        let (one, two) = (Peer::new().await, Peer::new().await);
+        let (node, _discovery, mut watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+        let mut client = node.client().await;
+        client.send("safe", "20000m").await;
+        let ((mut wire, _), other, name) = tokio::select! {
+            got = one.request() => (got, &two, "two"),
+            got = two.request() => (got, &one, "one"),
+        };
+        watch.list(2, false, &[member(name, other.address(), "leaving")]).await;
+        node.holds(2).await;
+        wire.answer("503 Service Unavailable", outcome, "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 503);
+        assert!(other.untouched().await, "sent to a server that drains");
+    }
+}
