Count in the log, class by class, how requests end

An operator could not see from the log which class is refused, late or failed: lines of single requests are bounded and named no class, the counters were for all classes together. Each line of counters now says for each class how many were asked, served, served after the aim, and given up by reason; a line of one request names its class. No decision changes.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -86,6 +86,7 @@
 /// A request in hand.
 struct Entry {
     id: Box<[u8]>,
+    class: ClassId,
     tenant: TenantId,
     since: Instant,
     taken: Instant,
@@ -143,6 +144,8 @@
     moved: Cell<bool>,
     /// By class: for how long its requests may be repeated, if they carry keys.
     windows: Vec<Option<Duration>>,
+    /// By class: within which time an answer earns its worth, the stretch for heavy requests left aside.
+    aims: Vec<Duration>,
     state: RefCell<State>,
     revision: Cell<u64>,
     lists_taken: Cell<u64>,
@@ -167,6 +170,7 @@
         };
         let asked = settings.list_on_request;
         let windows = settings.classes.iter().map(window).collect();
+        let aims = settings.classes.iter().map(|c| c.aim).collect();
         let state = State {
             balancer: Balancer::new(settings, seed, clock.now())?,
             events: VecDeque::new(),
@@ -187,6 +191,7 @@
             asked,
             moved: Cell::new(false),
             windows,
+            aims,
             state: RefCell::new(state),
             revision: Cell::new(0),
             lists_taken: Cell::new(0),
@@ -342,11 +347,12 @@
         let id = RequestId(state.next_request);
         state.next_request += 1;
         self.stats.count(|c| c.requests += 1);
+        self.stats.count_class(incoming.class, |c| c.requests += 1);
         let Incoming { class, tenant, work, due, remaining, id: name, since, request } = incoming;
         let window = self.windows.get(usize::from(class.0)).copied().flatten();
         let coming = request.body().upload().is_some();
         let (taken, reply, attempts) = (Instant::now(), Some(reply), Vec::new());
-        let entry = Entry { id: name, tenant, since, taken, request, due, window, reply, attempts };
+        let entry = Entry { id: name, class, tenant, since, taken, request, due, window, reply, attempts };
         state.ledger.insert(id, entry);
         drop(state);
         self.feed(Event::Arrival(Arrival { request: id, class, tenant, remaining, work, coming }));
@@ -393,10 +399,8 @@
         let Some(a) = entry.attempts.get(attempt as usize).filter(|a| a.task.is_some()) else { return false };
         let latency = since(&entry.request, a.began);
         let (Some(answer), Some(reply)) = (exchange.answer.take(), entry.reply.take()) else { return false };
-        self.stats.count(|c| {
-            c.served += 1;
-            c.passed_on += 1;
-        });
+        self.stats.count(|c| c.passed_on += 1);
+        self.count_served(entry);
         let _ = reply.send(Answer::Served(answer));
         drop(state);
         self.feed(Event::Begun { request, attempt, latency });
@@ -448,7 +452,7 @@
         if let Some(answer) = exchange.answer.take() {
             // The first answer closes the request; a later one is the copy's and is dropped.
             if let Some(reply) = entry.reply.take() {
-                self.stats.count(|c| c.served += 1);
+                self.count_served(entry);
                 let _ = reply.send(Answer::Served(answer));
             }
         }
@@ -512,6 +516,7 @@
         let Some(entry) = state.ledger.get_mut(&request) else { return };
         let Some(reply) = entry.reply.take() else { return };
         let refused = matches!(answer, Answer::Refused(_));
+        self.stats.count_class(entry.class, |c| *c.given_up.entry(reason).or_default() += 1);
         self.stats.count(|c| *(if refused { &mut c.refused } else { &mut c.failed }) += 1);
         let _ = reply.send(answer);
         if self.stats.single(reason) {
@@ -521,12 +526,25 @@
     }
 
     // ---- what is logged ----
+    fn count_served(&self, entry: &Entry) {
+        let late = self
+            .aims
+            .get(usize::from(entry.class.0))
+            .is_some_and(|aim| since(&entry.request, entry.taken) > *aim);
+        self.stats.count(|c| c.served += 1);
+        self.stats.count_class(entry.class, |c| {
+            c.served += 1;
+            c.late += u32::from(late);
+        });
+    }
+
     /// One line on a request that ends badly, with all that became of it.
     fn log_given_up(&self, entry: &Entry, answer: &str, reason: Reason) {
         let ms = |d: Duration| d.as_secs_f64() * 1e3;
         let id = printable(&entry.id);
         let mut line = format!(
-            "request id={id} tenant={} answer={answer} reason={reason:?} read_ms={:.2} age_ms={:.2} left_ms={:.0}",
+            "request id={id} class={} tenant={} answer={answer} reason={reason:?} read_ms={:.2} age_ms={:.2} left_ms={:.0}",
+            entry.class,
             entry.tenant,
             ms(entry.taken - entry.since),
             ms(entry.since.elapsed()),
@@ -589,6 +607,14 @@
         for (name, rate) in self.names().tenants.iter().zip(&view.tenants) {
             let _ = write!(line, " {}={rate:.2}", name.escape_debug());
         }
+        for (class, counts) in self.stats.take_classes() {
+            let name = self.names().classes.get(usize::from(class.0)).map_or("", String::as_str);
+            let (asked, served, late) = (counts.requests, counts.served, counts.late);
+            let _ = write!(line, " class={}:asked={asked},served={served},late={late}", name.escape_debug());
+            for (reason, count) in &counts.given_up {
+                let _ = write!(line, ",{reason:?}={count}");
+            }
+        }
         for s in &view.servers {
             let load = s.load.unwrap_or(f64::NAN);
             let [sent, full, bad] = sent.get(&s.server).copied().unwrap_or_default();
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -1,8 +1,9 @@
 //! What the node counts for its log, and how much it says of single requests.
 
-use finchvale::{Outcome, Reason};
+use finchvale::{ClassId, Outcome, Reason};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -68,9 +69,23 @@
     }
 }
 
+/// How the requests of one class ended since the last line of counters.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Requests taken.
+    pub requests: u32,
+    /// Answered with a server's answer ...
+    pub served: u32,
+    /// ... and of these after the class's aim.
+    pub late: u32,
+    /// Given up, by what for.
+    pub given_up: BTreeMap<Reason, u32>,
+}
+
 /// Counters for the log.
 pub struct Stats {
     counts: Cell<Counts>,
+    classes: RefCell<FxHashMap<ClassId, ClassCounts>>,
     since: Cell<Instant>,
     single: RefCell<FxHashMap<Reason, u32>>,
     turned_down: RefCell<FxHashMap<&'static str, u32>>,
@@ -82,6 +97,7 @@
     pub fn new() -> Self {
         Stats {
             counts: Cell::default(),
+            classes: RefCell::default(),
             since: Cell::new(Instant::now()),
             single: RefCell::default(),
             turned_down: RefCell::default(),
@@ -96,6 +112,18 @@
         self.counts.set(counts);
     }
 
+    /// Changes a class's counters.
+    pub fn count_class(&self, class: ClassId, change: impl FnOnce(&mut ClassCounts)) {
+        change(self.classes.borrow_mut().entry(class).or_default());
+    }
+
+    /// The classes' counters since this was last asked, in the order of the settings.
+    pub fn take_classes(&self) -> Vec<(ClassId, ClassCounts)> {
+        let mut counts: Vec<_> = self.classes.borrow_mut().drain().collect();
+        counts.sort_unstable_by_key(|c| c.0);
+        counts
+    }
+
     /// Whether one more request given up may be written by itself; counts it if not.
     pub fn single(&self, reason: Reason) -> bool {
         let mut single = self.single.borrow_mut();
@@ -136,18 +164,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn single_lines_are_bounded_and_the_rest_is_counted() {
-        let stats = Stats::new();
-        stats.count(|c| c.requests += 1);
-        let written = (0..2 * MOST_SINGLE).filter(|_| stats.single(Reason::Shed)).count();
-        assert_eq!(written, MOST_SINGLE as usize);
-        assert!(stats.single(Reason::NoServer), "another reason has its own");
-        assert_eq!(stats.take().expect("counters").0.suppressed, u64::from(MOST_SINGLE));
-        assert!(stats.take().is_none(), "nothing has happened since");
-        assert!(stats.single(Reason::Shed));
-    }
-}
+#[path = "stats_tests.rs"]
+mod tests;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,7 +280,7 @@
 }
 
 /// Why a request is given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Reason {
     /// Its work alone takes longer than its aim.
     TooLong,
