Call the toll a threshold and the further attempts a retry budget

Names only: admission control turns away below a threshold of worth, and what further attempts are paid from is a retry budget. No change of behaviour.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -625,7 +625,7 @@
             view.shed,
             view.load,
             view.latency * 1e3,
-            view.further,
+            view.retry_budget,
         );
         for (name, rate) in self.names().tenants.iter().zip(&view.tenants) {
             let _ = write!(line, " {}={rate:.2}", name.escape_debug());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -490,7 +490,7 @@
     /// Usual latency of an answer, in seconds.
     pub latency: f64,
     /// Further attempts that the retry budget holds.
-    pub further: f64,
+    pub retry_budget: f64,
     /// Each tenant's rate over all nodes, as a part of its quota.
     pub tenants: Vec<f64>,
     /// The ready servers.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,7 @@
 const SHED_MOST: f64 = 0.98; // the rest goes on asking whether servers are well again
 const RECOVER: f64 = 24.0; // s in which shedding drifts back by itself, for when nothing is sent
 const WORTH_MOST: f64 = 8.0; // times its class's worth that a request of a tenant in want counts for
-const WORTHS: usize = 64; // recent arrivals whose worths set the toll
+const WORTHS: usize = 64; // recent arrivals whose worths set the threshold
 const COLD_PART: f64 = 0.3; // part of a cold server's budget that all nodes spend; the rest is for chance
 const FAST: f64 = 1.5; // times the mean speed that a cold server is trusted with at most
 const HEAVY_PART: f64 = 0.25; // part of it that one request may take
@@ -283,21 +283,21 @@
             if c == m.leader {
                 m.refused *= 1.0 - (dt / RECOVER).min(1.0);
                 let refused = m.refused.max(refused / part.max(1e-9));
-                self.clear(c, refused);
+                self.set_threshold(c, refused);
             }
         }
     }
 
-    /// Sets the toll that turns away the part of recent arrivals that shares leave without a place.
-    fn clear(&mut self, class: usize, refused: f64) {
+    /// Sets the threshold that turns away the part of recent arrivals that shares leave without a place.
+    fn set_threshold(&mut self, class: usize, refused: f64) {
         let m = &mut self.markets[class];
         let (mut low, mut high) = (0.0, 2.0 * m.worths.iter().copied().fold(0.0, f64::max));
         while refused > 1e-3 && high - low > 1e-3 * high {
-            let toll = (low + high) / 2.0;
-            let turned: f64 = m.worths.iter().map(|w| (toll / w.max(1e-9)).min(1.0)).sum();
-            *(if turned < refused * m.worths.len() as f64 { &mut low } else { &mut high }) = toll;
+            let threshold = (low + high) / 2.0;
+            let turned: f64 = m.worths.iter().map(|w| (threshold / w.max(1e-9)).min(1.0)).sum();
+            *(if turned < refused * m.worths.len() as f64 { &mut low } else { &mut high }) = threshold;
         }
-        m.toll = if refused > 1e-3 { high } else { 0.0 };
+        m.threshold = if refused > 1e-3 { high } else { 0.0 };
     }
 
     /// Takes in a server's word on its load.
@@ -404,11 +404,11 @@
             asked,
         };
         self.requests.insert(a.request, r);
-        self.further = (self.further + RETRY_EARN).min(RETRY_MOST);
+        self.retry_budget = (self.retry_budget + RETRY_EARN).min(RETRY_MOST);
         self.markets[usize::from(class.0)].arrivals.add(now, 1.0);
         let worth = self.worth(now, class, a.tenant);
         self.solve(now);
-        let toll = self.markets[self.markets[usize::from(class.0)].leader].toll;
+        let threshold = self.markets[self.markets[usize::from(class.0)].leader].threshold;
         // Work beyond the aim can only be late, and takes room from work that can be in time.
         let hopeless = work.is_some_and(|w| w > self.aim(class, work));
         if let (Some(w), false) = (work, hopeless) {
@@ -419,7 +419,7 @@
         let reason = match hopeless {
             true => Some(Reason::TooLong),
             false if a.remaining.is_zero() => Some(Reason::Expired),
-            false => (self.random() * worth < toll).then_some(Reason::Shed),
+            false => (self.random() * worth < threshold).then_some(Reason::Shed),
         };
         match reason {
             Some(reason) => self.finish(a.request, reason, actions),
@@ -494,7 +494,7 @@
             *sum += share;
             list.push((i, *sum));
         }
-        // The toll has turned away already what bounds leave without a place on a first try.
+        // The threshold has turned away already what bounds leave without a place on a first try.
         let first = r.attempts.is_empty() && r.asked.is_empty();
         let whole = if first { m.shares.iter().sum() } else { m.open };
         type Marks = [(usize, f64)];
@@ -580,12 +580,12 @@
         let reason = match () {
             () if left < 0.5 * self.latency || r.ends <= now => Some(Reason::NoTime),
             () if !tries => Some(Reason::Attempts),
-            () => (self.further < 1.0).then_some(Reason::RetryBudget),
+            () => (self.retry_budget < 1.0).then_some(Reason::RetryBudget),
         };
         if let Some(reason) = reason {
             self.finish(end.request, reason, actions);
         } else if self.place(now, end.request, actions) {
-            self.further -= 1.0;
+            self.retry_budget -= 1.0;
         }
     }
 
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -204,7 +204,7 @@
     b.solve(at(2000));
     let most = ADMIT * 25.0 * b.part * 4.0 / b.markets[0].arrivals.add(at(2000), 0.0);
     assert!(b.markets[0].shares.iter().all(|s| *s <= most * 1.01), "{:?} above {most}", b.markets[0].shares);
-    assert!(b.markets[0].toll > 0.0, "what finds no place is turned away");
+    assert!(b.markets[0].threshold > 0.0, "what finds no place is turned away");
 }
 
 /// A server that fails fast reports little load; its failures must make it dear all the same.
@@ -309,15 +309,15 @@
 }
 
 #[test]
-fn tolls_turn_away_the_least_worth_first() {
+fn shedding_turns_away_the_least_worth_first() {
     let mut b = balancer(2);
     b.markets[0].worths.extend([1.0, 1.0, 10.0, 10.0]);
-    b.clear(0, 0.3);
-    let turned = |w: f64| (b.markets[0].toll / w).min(1.0);
+    b.set_threshold(0, 0.3);
+    let turned = |w: f64| (b.markets[0].threshold / w).min(1.0);
     assert!(turned(1.0) > 3.0 * turned(10.0));
     assert!(((turned(1.0) + turned(10.0)) / 2.0 - 0.3).abs() < 0.02);
-    b.clear(0, 0.0);
-    assert_eq!(b.markets[0].toll, 0.0);
+    b.set_threshold(0, 0.0);
+    assert_eq!(b.markets[0].threshold, 0.0);
 }
 
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -248,7 +248,7 @@
     /// Part of the arrivals that is shed for the load of these servers.
     pub refused: f64,
     /// Worth below which arrivals are turned away, in part; kept like `worths`.
-    pub toll: f64,
+    pub threshold: f64,
     /// Worths of recent arrivals, kept for all classes of one placement by the first of them.
     pub worths: VecDeque<f64>,
     /// The first class of the same placement.
@@ -268,7 +268,7 @@
             weighed: now,
             work: 0.0,
             refused: 0.0,
-            toll: 0.0,
+            threshold: 0.0,
             worths,
             leader,
             arrivals,
@@ -333,7 +333,7 @@
     pub(crate) sends: Rate,
     pub(crate) part: f64,
     pub(crate) began: Time,
-    pub(crate) further: f64,
+    pub(crate) retry_budget: f64,
     pub(crate) tenants: Vec<Rate>,
 }
 
@@ -375,7 +375,7 @@
             sends: Rate::new(now, RATE_WINDOW),
             part: 1.0 / f64::from(settings.nodes),
             began: now,
-            further: RETRY_MOST,
+            retry_budget: RETRY_MOST,
             tenants: settings.tenants.iter().map(|_| Rate::new(now, TENANT_WINDOW)).collect(),
             settings,
         })
@@ -427,7 +427,7 @@
         let taken: f64 = rates.map(|r| if r > 0.0 { r } else { usual }).sum();
         let sent = self.sends.add(now, 0.0);
         // Only while nothing is refused do sends and reported rates describe the same traffic.
-        if self.markets.iter().all(|m| m.toll == 0.0)
+        if self.markets.iter().all(|m| m.threshold == 0.0)
             && taken > 0.0
             && (now - self.began).as_secs_f64() > 4.0 * RATE_WINDOW
         {
@@ -533,7 +533,7 @@
             shed: self.markets.first().map_or(0.0, |m| m.refused),
             load: self.mean_load,
             latency: self.latency,
-            further: self.further,
+            retry_budget: self.retry_budget,
             tenants,
             servers: servers.collect(),
         }
