Plan with the descriptors that the system allows, where the configuration says more

With a limit of the system under limits.sockets (96 of 1024 in the test) 200 idle and half-written clients took all 97 descriptors: accept, discovery and backends then failed for want of one. main.rs, plan, goes by the lower of both now.

Test with the real limit lowered, pushed and asked lists: discovery refuses, the crowd comes, the console answers; discovery returns and is called, its list is taken, a backend is connected, a proper client is served.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -21,6 +21,7 @@
 use engine::Engine;
 use frontend::{Frontend, Phase};
 use handover::Keeper;
+use rustix::process::{getrlimit, Resource};
 use std::error::Error;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -82,10 +83,12 @@
     let unkept = operated && place.is_none();
     let (keeper, unread) = Keeper::open(place.map(Into::into), &config.name);
     let keeper = Rc::new(keeper);
-    // Two processes of a node have one machine between them.
+    // Two processes of a node have one machine between them. What the system allows a process is its own.
+    let allowed = getrlimit(Resource::Nofile).current.and_then(|most| usize::try_from(most).ok());
+    let allowed = allowed.unwrap_or(usize::MAX);
     let plan = move |accompanied: bool| {
         let part = 1 + usize::from(accompanied);
-        let sockets = (config.sockets / part).saturating_sub(reserved).max(2);
+        let sockets = (config.sockets / part).min(allowed).saturating_sub(reserved).max(2);
         let clients = (sockets / 2).min(config.memory / part / 4 * 3 / REQUEST_MEMORY).max(1);
         (clients, sockets - clients)
     };
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -73,6 +73,51 @@
     assert_eq!(client.read().await.expect("an answer").status(), 200);
 }
 
+/// Clients that say nothing, or half a head, take all descriptors that they can get while discovery is down, and the system
+/// allows fewer of them than the configuration says. What the node itself needs is left: discovery's return is noticed, the
+/// console answers, servers are connected, and proper clients get a place.
+#[tokio::test]
+async fn clients_that_take_all_descriptors_leave_the_node_its_own() {
+    for asked in [false, true] {
+        let server = Peer::new().await;
+        let discovery = Peer::new().await;
+        let address = discovery.address();
+        drop(discovery); // It refuses connections until it is back.
+        let mut settings = settings();
+        settings["registry_mode"] = json!(if asked { "subscribe" } else { "automatic" });
+        let config = json!({
+            "name": "n", "listen": "127.0.0.1:0", "console": "127.0.0.1:0", "seed": "1f",
+            "discovery": address.to_string(), "limits": {"sockets": 1024, "memory_mb": MEMORY_MB}, "settings": settings,
+        });
+        let node = Node::limited(config, 96).await;
+        let mut crowd = Vec::new();
+        for k in 0..200 {
+            let mut client = node.client().await;
+            if k % 2 == 0 {
+                client.write_what_is_taken("POST /unsafe HT").await;
+            }
+            crowd.push(client);
+        }
+        // A third of what the system allows is never theirs.
+        for _ in 0..60 {
+            assert!(node.descriptors() <= 64, "{}", node.descriptors());
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        assert_eq!(node.call("GET", "/healthcheck").await, 503);
+        let discovery = Peer::at(address).await;
+        let (mut watch, _) = discovery.watch().await;
+        watch.list(1, true, &[member("s", server.address(), "active")]).await;
+        node.ready().await;
+        assert_eq!(node.call("GET", "/healthcheck").await, 200);
+        let mut client = node.client().await;
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = server.request().await;
+        assert!(node.descriptors() <= 96, "{}", node.descriptors());
+        wire.answer("200 OK", "", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+    }
+}
+
 /// Connections that come all at once fill every place before any of them has had its turn. Room is made all the same.
 #[tokio::test]
 async fn a_burst_of_idle_connections_keeps_nobody_out() {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -258,7 +258,12 @@
 
 impl Peer {
     pub async fn new() -> Self {
-        Peer(Closing(Some(TcpListener::bind(own_address()).await.expect("a port"))))
+        Peer::at(own_address()).await
+    }
+
+    /// The same at a given address.
+    pub async fn at(address: SocketAddr) -> Self {
+        Peer(Closing(Some(TcpListener::bind(address).await.expect("a port"))))
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -364,21 +369,31 @@
 
 /// The same with further variables.
 pub fn start_told(config: &str, variables: &[(&str, &str)]) -> Child {
-    start_with(config, variables, None).0
+    start_with(config, variables, None, None).0
 }
 
-/// The same with further variables and a listener that the process inherits; says which file holds the configuration.
+/// The same with further variables, a listener that the process inherits, and a limit on descriptors that the system keeps;
+/// says which file holds the configuration.
 fn start_with(
     config: &str,
     variables: &[(&str, &str)],
     inherited: Option<&std::net::TcpListener>,
+    descriptors: Option<u32>,
 ) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
     let path = path.join(format!("{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("a configuration file");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_birchswitch"));
+    let program = env!("CARGO_BIN_EXE_birchswitch");
+    let mut command = match descriptors {
+        None => Command::new(program),
+        Some(most) => {
+            let mut shell = Command::new("/bin/sh");
+            shell.args(["-c", "ulimit -n \"$0\" && exec \"$1\"", &most.to_string(), program]);
+            shell
+        }
+    };
     command.env_clear().envs(variables.iter().copied()).env("GW_CONFIG", &path);
     command.stderr(Stdio::piped()).kill_on_drop(true);
     let _guard = nothing_starts();
@@ -411,13 +426,27 @@
         Node::inheriting(config, variables, None).await
     }
 
+    /// The same with a limit on descriptors that the system keeps, whatever the configuration says.
+    pub async fn limited(config: Value, descriptors: u32) -> Self {
+        Node::started(config, &[], None, Some(descriptors)).await
+    }
+
     /// The same with a listener that it inherits.
     pub async fn inheriting(
         config: Value,
         variables: &[(&str, &str)],
         listener: Option<&std::net::TcpListener>,
     ) -> Self {
-        let (mut child, path) = start_with(&config.to_string(), variables, listener);
+        Node::started(config, variables, listener, None).await
+    }
+
+    async fn started(
+        config: Value,
+        variables: &[(&str, &str)],
+        listener: Option<&std::net::TcpListener>,
+        descriptors: Option<u32>,
+    ) -> Self {
+        let (mut child, path) = start_with(&config.to_string(), variables, listener, descriptors);
         let log = child.stderr.take().map(BufReader::new);
         let mut node =
             Node { child, log, address: ([127, 0, 0, 1], 0).into(), console: None, config: (config, path) };
