Let in all classes alike for two thirds, and let worth decide over the rest

Now part CLASS_PART of the chance to be shed follows a threshold of the class alone, the rest the common one. What is let in stays the same, and within a class worth decides as before: a site with one class sees no difference.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,8 @@
 const SHED_MOST: f64 = 0.98; // the rest goes on asking whether servers are well again
 const RECOVER: f64 = 24.0; // s in which shedding drifts back by itself, for when nothing is sent
 const WORTH_MOST: f64 = 8.0; // times its class's worth that a request of a tenant in want counts for
-const WORTHS: usize = 64; // recent arrivals whose worths set the threshold
+const WORTHS: usize = 64; // recent arrivals whose worths set the thresholds
+const CLASS_PART: f64 = 2.0 / 3.0; // part of what is let in that goes to all classes alike, whatever they are worth
 const COLD_PART: f64 = 0.3; // part of a cold server's budget that all nodes spend; the rest is for chance
 const FAST: f64 = 1.5; // times the mean speed that a cold server is trusted with at most
 const HEAVY_PART: f64 = 0.25; // part of it that one request may take
@@ -283,21 +284,31 @@
             if c == m.leader {
                 m.refused *= 1.0 - (dt / RECOVER).min(1.0);
                 let refused = m.refused.max(refused / part.max(1e-9));
-                self.set_threshold(c, refused);
+                self.set_thresholds(c, refused);
             }
         }
     }
 
-    /// Sets the threshold that turns away the part of recent arrivals that shares leave without a place.
-    fn set_threshold(&mut self, class: usize, refused: f64) {
-        let m = &mut self.markets[class];
-        let (mut low, mut high) = (0.0, 2.0 * m.worths.iter().copied().fold(0.0, f64::max));
-        while refused > 1e-3 && high - low > 1e-3 * high {
-            let threshold = (low + high) / 2.0;
-            let turned: f64 = m.worths.iter().map(|w| (threshold / w.max(1e-9)).min(1.0)).sum();
-            *(if turned < refused * m.worths.len() as f64 { &mut low } else { &mut high }) = threshold;
-        }
-        m.threshold = if refused > 1e-3 { high } else { 0.0 };
+    /// Sets the thresholds that turn away the part of recent arrivals that shares leave without a place: one over all classes
+    /// of a placement, and one over each by itself.
+    fn set_thresholds(&mut self, leader: usize, refused: f64) {
+        let worths = &self.markets[leader].worths;
+        let all = threshold(worths.iter().map(|w| w.1), refused);
+        let own =
+            |c: usize| threshold(worths.iter().filter(|w| usize::from(w.0 .0) == c).map(|w| w.1), refused);
+        let own: Vec<f64> = (0..self.markets.len()).map(own).collect();
+        self.markets[leader].threshold = all;
+        for (m, own) in self.markets.iter_mut().zip(own).filter(|m| m.0.leader == leader) {
+            m.own_threshold = own;
+        }
+    }
+
+    /// Chance that an arrival is turned away. Of what is let in, a part goes to all classes alike and worth decides within
+    /// each; over the rest it decides between them too. Where worth alone did, a class of little worth got hardly anything.
+    fn shed_chance(&self, class: ClassId, worth: f64) -> f64 {
+        let m = &self.markets[usize::from(class.0)];
+        let chance = |threshold: f64| (threshold / worth.max(1e-9)).min(1.0);
+        CLASS_PART * chance(m.own_threshold) + (1.0 - CLASS_PART) * chance(self.markets[m.leader].threshold)
     }
 
     /// Takes in a server's word on its load.
@@ -408,7 +419,7 @@
         self.markets[usize::from(class.0)].arrivals.add(now, 1.0);
         let worth = self.worth(now, class, a.tenant);
         self.solve(now);
-        let threshold = self.markets[self.markets[usize::from(class.0)].leader].threshold;
+        let shed = self.shed_chance(class, worth);
         // Work beyond the aim can only be late, and takes room from work that can be in time.
         let hopeless = work.is_some_and(|w| w > self.aim(class, work));
         if let (Some(w), false) = (work, hopeless) {
@@ -419,7 +430,7 @@
         let reason = match hopeless {
             true => Some(Reason::TooLong),
             false if a.remaining.is_zero() => Some(Reason::Expired),
-            false => (self.random() * worth < threshold).then_some(Reason::Shed),
+            false => (self.random() < shed).then_some(Reason::Shed),
         };
         match reason {
             Some(reason) => self.finish(a.request, reason, actions),
@@ -442,7 +453,7 @@
             worth *= within.min(WORTH_MOST) + (1.0 - within).max(0.0) * self.settings.over_share_worth;
         }
         let leader = self.markets[usize::from(class.0)].leader;
-        self.markets[leader].note_worth(worth, WORTHS);
+        self.markets[leader].note_worth(class, worth, WORTHS);
         worth
     }
 
@@ -706,6 +717,21 @@
         && class.kinds.as_ref().is_none_or(|open| open.contains(&s.kind))
 }
 
+/// The worth below which arrivals are turned away, each by what it is worth less, so that of those like these such a part is.
+fn threshold(worths: impl Iterator<Item = f64> + Clone, refused: f64) -> f64 {
+    if refused <= 1e-3 {
+        return 0.0;
+    }
+    let wanted = refused * worths.clone().count() as f64;
+    let (mut low, mut high) = (0.0, 2.0 * worths.clone().fold(0.0, f64::max));
+    while high - low > 1e-3 * high {
+        let middle = (low + high) / 2.0;
+        let turned: f64 = worths.clone().map(|w| (middle / w.max(1e-9)).min(1.0)).sum();
+        *(if turned < wanted { &mut low } else { &mut high }) = middle;
+    }
+    high
+}
+
 /// share = [1/(price + lambda) − 1/speed]₊, at most `most`, of sum n: the maximum of Σ ln(1 + share·speed)
 /// − price·share. Newton steps on lambda, kept inside a shrinking bracket. Returns lambda.
 fn solve_shares(lines: &[Line], floor: f64, start: f64, shares: &mut Vec<f64>) -> f64 {
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -311,13 +311,44 @@
 #[test]
 fn shedding_turns_away_the_least_worth_first() {
     let mut b = balancer(2);
-    b.markets[0].worths.extend([1.0, 1.0, 10.0, 10.0]);
-    b.set_threshold(0, 0.3);
-    let turned = |w: f64| (b.markets[0].threshold / w).min(1.0);
+    b.markets[0].worths.extend([1.0, 1.0, 10.0, 10.0].map(|worth| (ClassId(0), worth)));
+    b.set_thresholds(0, 0.3);
+    let turned = |w: f64| b.shed_chance(ClassId(0), w);
     assert!(turned(1.0) > 3.0 * turned(10.0));
     assert!(((turned(1.0) + turned(10.0)) / 2.0 - 0.3).abs() < 0.02);
-    b.set_threshold(0, 0.0);
-    assert_eq!(b.markets[0].threshold, 0.0);
+    b.set_thresholds(0, 0.0);
+    assert_eq!((b.markets[0].threshold, b.shed_chance(ClassId(0), 0.01)), (0.0, 0.0));
+}
+
+/// Of classes whose worths differ tenfold the cheapest was shed nearly whole before the dearest was touched: with six in ten
+/// turned away a class of worth 1 beside others of 2 and 10 was let in at one in ten. What is let in goes to all classes
+/// alike for the most part; over the rest worth decides, and no more is let in for that.
+#[test]
+fn no_class_is_shed_whole_for_the_others() {
+    for refused in [0.2, 0.4, 0.6, 0.8] {
+        let mut settings = Settings { reports_rate: false, reports: Reports::Absent, ..settings() };
+        settings.classes.truncate(3);
+        for (class, worth) in settings.classes.iter_mut().zip([1.0, 2.0, 10.0]) {
+            (class.effect, class.worth) = (Effect::Safe, worth);
+        }
+        let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+        b.handle(at(0), list(40), &mut vec![]);
+        let (mut asked, mut let_in) = ([0.0; 3], [0.0; 3]);
+        for k in 0..6000u64 {
+            let class = [0, 1, 0, 2, 0, 1, 0, 1, 0, 1][k as usize % 10];
+            (b.markets[0].refused, b.solved) = (refused, None);
+            let mut actions = vec![];
+            let Event::Arrival(a) = arrival(k, class) else { unreachable!("an arrival") };
+            b.handle(at(k), Event::Arrival(a), &mut actions);
+            asked[usize::from(class)] += 1.0;
+            let_in[usize::from(class)] += f64::from(u8::from(matches!(actions[..], [Action::Send { .. }])));
+        }
+        let part: Vec<f64> = let_in.iter().zip(asked).map(|(l, a)| l / a).collect();
+        let all = let_in.iter().sum::<f64>() / asked.iter().sum::<f64>();
+        assert!((all - (1.0 - refused)).abs() < 0.03, "{all} of {refused}");
+        assert!(part[0] > 0.62 * all, "{part:?} at {refused}");
+        assert!(part[0] < part[1] && part[1] < part[2], "worth still decides: {part:?}");
+    }
 }
 
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -247,10 +247,12 @@
     pub work: f64,
     /// Part of the arrivals that is shed for the load of these servers.
     pub refused: f64,
-    /// Worth below which arrivals are turned away, in part; kept like `worths`.
+    /// Worth below which arrivals of all classes of one placement are turned away, in part; kept like `worths`.
     pub threshold: f64,
-    /// Worths of recent arrivals, kept for all classes of one placement by the first of them.
-    pub worths: VecDeque<f64>,
+    /// The same for the class by itself: it turns away as much of each class.
+    pub own_threshold: f64,
+    /// Classes and worths of recent arrivals, kept for all classes of one placement by the first of them.
+    pub worths: VecDeque<(ClassId, f64)>,
     /// The first class of the same placement.
     pub leader: usize,
     pub arrivals: Rate,
@@ -269,6 +271,7 @@
             work: 0.0,
             refused: 0.0,
             threshold: 0.0,
+            own_threshold: 0.0,
             worths,
             leader,
             arrivals,
@@ -282,11 +285,11 @@
     }
 
     /// Keeps the worths of the last `most` arrivals.
-    pub(crate) fn note_worth(&mut self, worth: f64, most: usize) {
+    pub(crate) fn note_worth(&mut self, class: ClassId, worth: f64, most: usize) {
         if self.worths.len() == most {
             self.worths.pop_front();
         }
-        self.worths.push_back(worth);
+        self.worths.push_back((class, worth));
     }
 }
 
