--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,7 +46,7 @@
 const RECOVER: f64 = 24.0; // s in which shedding drifts back by itself, for when nothing is sent
 const WORTH_MOST: f64 = 8.0; // times its class's worth that a request of a tenant in want counts for
 const WORTHS: usize = 64; // recent arrivals whose worths set the thresholds
-const CLASS_PART: f64 = 2.0 / 3.0; // part of what is let in that goes to all classes alike, whatever they are worth
+const CLASS_PART: f64 = 2.0 / 3.0; // part of what is let in that goes to all classes alike
 const COLD_PART: f64 = 0.3; // part of a cold server's budget that all nodes spend; the rest is for chance
 const FAST: f64 = 1.5; // times the mean speed that a cold server is trusted with at most
 const HEAVY_PART: f64 = 0.25; // part of it that one request may take
@@ -98,7 +98,10 @@
         // calls that fail in a row mean that discovery is busy. A watch that has served and broken is opened
         // anew soon: what it misses counts as told. The last list stays valid.
         if self.settings.list_on_request && matches!(kind, ListKind::Cached | ListKind::Failed) {
-            let spread = self.settings.rules.ask_within.as_secs_f64().clamp(1.0, 30.0) / 5.0;
+            // Without a server to send to nothing is served before the first list.
+            let known = entries.iter().any(|e| e.state == ServerState::Ready);
+            let longest = if known { 30.0 } else { 5.0 * ASK_MOST };
+            let spread = self.settings.rules.ask_within.as_secs_f64().clamp(1.0, longest) / 5.0;
             let most = if kind == ListKind::Failed { self.backoff(now).min(spread) } else { spread };
             let wait = self.random() * most;
             self.list_failures = self.list_failures.saturating_add(u32::from(kind == ListKind::Failed));
@@ -112,8 +115,8 @@
         }
     }
 
-    /// The longest wait after a failed call for the list. Failures in a row double it, less the time that the latest took: a
-    /// call that was given up for its silence has been a pause already.
+    /// The longest wait after a failed call for the list. Failures in a row double it, less the time that the
+    /// latest took: a call that was given up for its silence has been a pause already.
     fn backoff(&self, now: Time) -> f64 {
         let most = (ASK_AGAIN * f64::from(1u32 << self.list_failures.min(16))).min(ASK_MOST);
         match self.list_failures {
@@ -289,8 +292,8 @@
         }
     }
 
-    /// Sets the thresholds that turn away the part of recent arrivals that shares leave without a place: one over all classes
-    /// of a placement, and one over each by itself.
+    /// Sets the thresholds that turn away the part of recent arrivals that shares leave without a place: one
+    /// over all classes of a placement, and one over each by itself.
     fn set_thresholds(&mut self, leader: usize, refused: f64) {
         let worths = &self.markets[leader].worths;
         let all = threshold(worths.iter().map(|w| w.1), refused);
@@ -303,8 +306,8 @@
         }
     }
 
-    /// Chance that an arrival is turned away. Of what is let in, a part goes to all classes alike and worth decides within
-    /// each; over the rest it decides between them too. Where worth alone did, a class of little worth got hardly anything.
+    /// Chance that an arrival is turned away. Of what is let in, a part goes to all classes alike; over the
+    /// rest worth decides between them too. Where it alone did, a class of little worth got hardly anything.
     fn shed_chance(&self, class: ClassId, worth: f64) -> f64 {
         let m = &self.markets[usize::from(class.0)];
         let chance = |threshold: f64| (threshold / worth.max(1e-9)).min(1.0);
@@ -717,7 +720,7 @@
         && class.kinds.as_ref().is_none_or(|open| open.contains(&s.kind))
 }
 
-/// The worth below which arrivals are turned away, each by what it is worth less, so that of those like these such a part is.
+/// The worth below which arrivals are turned away in part, so that of those like these such a part is.
 fn threshold(worths: impl Iterator<Item = f64> + Clone, refused: f64) -> f64 {
     if refused <= 1e-3 {
         return 0.0;
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -557,6 +557,29 @@
     }
 }
 
+/// A process that knows no server to send to can't serve before its first list: it asks soon, however seldom lists have to be
+/// asked for. One that knows some keeps to them, and its call stays spread out.
+#[test]
+fn a_process_that_knows_no_server_asks_soon() {
+    let longest = |entries: &[ServerEntry]| {
+        let mut settings = Settings { list_on_request: true, ..settings() };
+        settings.rules.ask_within = Duration::from_secs(60);
+        let waits = (0..200).map(|seed| {
+            let mut b = Balancer::new(settings.clone(), seed, at(0)).expect("sound settings");
+            let mut actions = vec![];
+            let entries = entries.to_vec();
+            b.handle(at(0), Event::List { kind: ListKind::Cached, entries }, &mut actions);
+            let [Action::SetTimer { at: then, .. }] = actions[..] else { panic!("{actions:?}") };
+            then - at(0)
+        });
+        waits.max().expect("waits")
+    };
+    assert!(longest(&[]) <= ms(2000), "{:?}", longest(&[]));
+    let leaving = [entry(1, ServerState::Draining, None)];
+    assert!(longest(&leaving) <= ms(2000), "{:?}", longest(&leaving));
+    assert!(longest(&[entry(1, ServerState::Ready, None)]) > ms(3000));
+}
+
 /// A fleet whose discovery is out calls it again without end, at a bounded rate and not in step.
 #[test]
 fn a_fleet_does_not_storm_a_discovery_that_is_out() {
