--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,7 +39,7 @@
 pub(crate) const TENANT_WINDOW: f64 = 5.0; // s for tenants: at low rates a shorter one is all chance
 pub(crate) const PART_WINDOW: f64 = 10.0; // s over which this node's part of all traffic is learnt
 const SHED: f64 = 1.0; // load met by a blind node's attempts, waits included, above which arrivals are shed
-const SHED_UNTOLD: f64 = 0.5; // the same where no report tells load: an answer's time speaks late
+const SHED_UNTOLD: f64 = 0.2; // the same where no report tells load: an answer's time speaks late
 const SHED_STEP: f64 = 2.0; // e-folds of what is let in, per s and unit of excess load
 const SHED_TIME: f64 = 0.5; // s that one attempt speaks for, at most
 const SHED_MOST: f64 = 0.98; // the rest goes on asking whether servers are well again
@@ -529,11 +529,22 @@
         server.is_some()
     }
 
+    /// How long an attempt may take. Where no report tells load, that it takes the whole aim does: if it can
+    /// earn nothing any more, it ends, and its server is known to be past what it can do.
+    fn patience(&self, now: Time, r: &Request) -> Duration {
+        let untold = self.settings.reports == Reports::Absent;
+        match untold && self.settings.classes[usize::from(r.class.0)].late_worth == 0.0 {
+            true => r.ends.min(r.arrived + Duration::from_secs_f64(self.aim(r.class, r.work))) - now,
+            false => r.ends - now,
+        }
+    }
+
     fn send(&mut self, now: Time, id: RequestId, server: Option<usize>, actions: &mut Vec<Action>) {
         let fits = |i: &usize| self.requests.get(&id).is_some_and(|r| self.open(now, r, &self.servers[*i]));
         let Some(i) = server.filter(fits) else {
             return self.finish(id, Reason::NoServer, actions);
         };
+        let Some(limit) = self.requests.get(&id).map(|r| self.patience(now, r)) else { return };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let s = &mut self.servers[i];
         let fresh = !s.connected(now, self.settings.conn_idle);
@@ -547,7 +558,7 @@
         self.markets[usize::from(r.class.0)].steady.add(now, 1.0);
         let (server, zone, cell) = (s.id, s.zone, s.cell);
         r.attempts.push(Attempt { server, zone, cell, sent: now, ended: false, may_have_run: false, fresh });
-        actions.push(Action::Send { request: id, server, limit: Some(r.ends - now) });
+        actions.push(Action::Send { request: id, server, limit: Some(limit) });
     }
 
     fn ended(&mut self, now: Time, end: &Ended, actions: &mut Vec<Action>) {
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -676,6 +676,33 @@
     b
 }
 
+/// Where no report tells load, what an attempt meets does: it ends with the aim, beyond which its answer earns nothing. Where
+/// a late answer earns something, or reports tell load, it may take as long as the client waits.
+#[test]
+fn attempts_that_can_earn_nothing_more_end_where_nothing_else_tells_load() {
+    let limit = |reports: Reports, late_worth: f64| {
+        let mut settings = Settings { reports_rate: false, reports, ..settings() };
+        settings.classes[0].late_worth = late_worth;
+        let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+        b.handle(at(0), list(40), &mut vec![]);
+        let mut actions = vec![];
+        b.handle(at(5), arrival(1, 0), &mut actions);
+        let Some(&Action::Send { server, limit: first, .. }) = actions.first() else { panic!("{actions:?}") };
+        actions.clear();
+        b.handle(at(105), ended(1, 0, server, Outcome::Error, None), &mut actions);
+        let Some(&Action::Send { limit: second, .. }) = actions.first() else { panic!("{actions:?}") };
+        (first, second)
+    };
+    let aim = settings().classes[0].aim;
+    assert_eq!(
+        limit(Reports::Absent, 0.0),
+        (Some(aim), Some(aim - ms(100))),
+        "of the whole request, not of each attempt"
+    );
+    assert_eq!(limit(Reports::Absent, 0.3), (Some(ms(1000)), Some(ms(900))));
+    assert_eq!(limit(Reports::WithAnswers, 0.0), (Some(ms(1000)), Some(ms(900))));
+}
+
 /// Etichete big-1: every node opened connections to every server, whose tables filled up, and heard of each too
 /// rarely to price it. A node deals with few servers, by an order of its own, and with more as it sends more.
 #[test]
@@ -786,8 +813,9 @@
         }
         b.markets[0].refused
     };
-    assert!(shed(Reports::Absent, 0.65) > 0.3, "{}", shed(Reports::Absent, 0.65));
-    assert_eq!(shed(Reports::Absent, 0.4), 0.0);
+    assert!(shed(Reports::Absent, 0.65) > 0.6, "{}", shed(Reports::Absent, 0.65));
+    assert!(shed(Reports::Absent, 0.3) > 0.1, "{}", shed(Reports::Absent, 0.3));
+    assert_eq!(shed(Reports::Absent, 0.15), 0.0);
     assert_eq!(shed(Reports::WithAnswers, 0.85), 0.0);
 }
 
