See the leaving of a client that sends more than the system takes in, and goes

While a request waits the gate holds up to 16 KiB of what comes behind it, and then read nothing more: a close behind more than that and the system's own buffers was seen only once the request ended, and its retry went out. What begins no request is thrown away beyond the 16 KiB now, up to the close (gate.rs, poll_read); requests in a row wait as before. Test: 10 MB and a close behind an unsafe request; before, the client's writing never ended.

--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -155,10 +155,14 @@
                 return Poll::Ready(Ok(()));
             }
             match me.next {
-                // All that is looked for is the connection's end. What comes is held, up to a head's length.
+                // All that is looked for is the connection's end. What comes is held, up to a head's length. Requests in a
+                // row wait there; what is none is thrown away beyond that, or its sender's leaving would never be seen.
                 Next::Head if me.guard.busy() => {
                     if me.held.len() >= MOST_HEAD {
-                        return Poll::Pending;
+                        if begins_request(&me.held) {
+                            return Poll::Pending;
+                        }
+                        me.held.truncate(MOST_HEAD);
                     }
                     if ready!(me.fill(cx))? == 0 {
                         return Poll::Ready(Ok(()));
@@ -260,6 +264,13 @@
     matches!(poll(&mut asked, Some(&now)), Ok(1..)) && asked[0].revents().intersects(ended)
 }
 
+/// Whether bytes are the beginning of a request, or of what may become one.
+fn begins_request(bytes: &[u8]) -> bool {
+    let bytes = bytes.strip_prefix(b"\r\n").unwrap_or(bytes);
+    let begins = |method: &[u8]| bytes.iter().zip(method).all(|(a, b)| a == b);
+    begins(b"GET ") || begins(b"POST ")
+}
+
 /// Reads a request's head.
 pub fn request_head(bytes: &[u8]) -> Result<Option<Head>, Problem> {
     let bad = |why| (StatusCode::BAD_REQUEST, why);
@@ -287,10 +298,7 @@
     };
     // What is behind a request has to begin another. Else its length is wrong, and nothing about it can be trusted.
     if let Next::Body(body) = next {
-        let behind = bytes.get(length + body as usize..).unwrap_or_default();
-        let behind = behind.strip_prefix(b"\r\n").unwrap_or(behind);
-        let begins = |method: &[u8]| behind.iter().zip(method).all(|(a, b)| a == b);
-        if !begins(b"GET ") && !begins(b"POST ") {
+        if !begins_request(bytes.get(length + body as usize..).unwrap_or_default()) {
             return Err(bad("more came than the head says"));
         }
     }
--- a/node/tests/left.rs
+++ b/node/tests/left.rs
@@ -163,3 +163,16 @@
         }
     }
 }
+
+/// A client may send more than the system takes in for the node, and go: its close comes behind all that.
+#[tokio::test]
+async fn a_client_that_sends_without_end_and_goes_is_noticed() {
+    let server = Peer::new().await;
+    let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "60000m").await;
+    let (_wire, _) = server.request().await;
+    client.write_what_is_taken(&"much ".repeat(2_000_000)).await;
+    drop(client);
+    while !within("the leaving to be counted", node.logged("stats ")).await.contains(" gone=1 ") {}
+}
