Let closed and cold servers make room for others among the few that a node deals with

A node that can't measure capacity deals with the first few servers of its own order (NEWS, LEAST_OPEN). Balancer::trade: a server whose price is CLOSED above the going one doesn't count among the few, a cold one counts by what its bound lets it take.

Tests: with five of ten servers failing more are dealt with, and other servers are used; once all are well the few are enough again; with all cold over twice as many.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,7 @@
 pub(crate) const KIND_PRIOR: f64 = 6.0; // trust in the kind's pace, in answers
 const NEWS: f64 = 1.0; // s in which a node wants to hear, by answers, of each server it deals with ...
 const LEAST_OPEN: f64 = 5.0; // ... and the fewest that it deals with for a class
+const CLOSED: f64 = 0.25; // price above the going one from which a server doesn't count among these
 const ADMIT: f64 = 0.72; // part of its measured capacity that a server is asked for; reports miss the rest
 const UNKNOWN: f64 = 0.4; // part of the mean capacity that a server not heard of yet is trusted with
 pub(crate) const RATE_WINDOW: f64 = 1.0; // s over which rates of arrivals and sends are measured
@@ -251,10 +252,21 @@
                 tight.iter().for_each(|&k| taken[c][k] += brought * lines[k].speed);
             }
         }
-        // A blind node deals with as many servers as it can hear of in time.
-        for (c, open) in open.iter_mut().enumerate().filter(|_| self.blind) {
-            let flow = self.markets[c].steady.young(now);
-            open.truncate((NEWS * flow).max(LEAST_OPEN).ceil() as usize);
+        // A blind node deals with as many servers as it can hear of in time. Those that are closed, and what
+        // cold ones can't take, make room for others: else all that would fall on the few that are well.
+        let few: Vec<f64> =
+            self.markets.iter_mut().map(|m| (NEWS * m.steady.young(now)).max(LEAST_OPEN).ceil()).collect();
+        for (open, few) in open.iter_mut().zip(few).filter(|_| self.blind) {
+            let mut sum = 0.0;
+            let takes = |k: usize| match self.servers[self.ready[k]].price > self.going_price + CLOSED {
+                true => 0.0,
+                false => lines[k].most.min(1.0),
+            };
+            open.retain(|&k| {
+                let before = sum;
+                sum += takes(k);
+                before < few
+            });
         }
         let kept = 0.95f64.powf(dt / TICK);
         self.ready.iter().for_each(|&i| self.servers[i].share *= kept);
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -676,6 +676,42 @@
     b
 }
 
+/// O, split+mass: a cut, or servers slowed by their own load, left a node with two or three of its few, which then took all
+/// its traffic and slowed down as well, while it knew of hundreds. Servers that are closed make room for others among the
+/// few; once they answer well they are enough again. The same holds for what cold ones can't take.
+#[test]
+fn closed_and_cold_servers_make_room_for_others() {
+    let mut b = blind();
+    // The most servers dealt with, once it has settled, and those that are sent to.
+    let settle = |b: &mut Balancer, from: u64, bad: &[ServerId]| {
+        let (mut most, mut used) = (0.0f64, std::collections::BTreeSet::new());
+        for k in 0..400 {
+            let (now, id) = (at(from + k * 100), from + k);
+            let Some(server) = sent(b, now, id) else { continue };
+            let outcome = if bad.contains(&server) { Outcome::Unreachable } else { Outcome::Served };
+            let end = Ended { closed: true, ..plain_end(id, server, outcome) };
+            b.handle(now, Event::Ended(end), &mut vec![]);
+            if k >= 200 {
+                most = most.max(b.markets[0].open);
+                used.insert(server);
+            }
+        }
+        (most, used)
+    };
+    let (few, first) = settle(&mut b, 1, &[]);
+    let bad: Vec<ServerId> = first.iter().copied().take(5).collect();
+    let (more, used) = settle(&mut b, 100_000, &bad);
+    assert!(more >= few + 3.0, "{more} of {few}");
+    assert!(used.iter().any(|s| !first.contains(s)), "{used:?} of {first:?}");
+    assert_eq!(settle(&mut b, 300_000, &[]).0, few);
+    // All cold: each takes a part only.
+    let mut cold = Balancer::new(b.settings.clone(), 7, at(0)).expect("sound settings");
+    let entries = (0..40).map(|s| entry(s, ServerState::Ready, Some(at(0)))).collect();
+    cold.handle(at(0), Event::List { kind: ListKind::Full, entries }, &mut vec![]);
+    cold.handle(at(1), arrival(1, 0), &mut vec![]);
+    assert!(cold.markets[0].open > 2.0 * LEAST_OPEN, "{}", cold.markets[0].open);
+}
+
 /// Where no report tells load, what an attempt meets does: it ends with the aim, beyond which its answer earns nothing. Where
 /// a late answer earns something, or reports tell load, it may take as long as the client waits.
 #[test]
@@ -710,7 +746,10 @@
     let mut b = blind();
     let dealt = |b: &mut Balancer, from: u64, gap: u64| {
         for k in 0..200 {
-            b.handle(at(from + k * gap), arrival(from + k, 0), &mut vec![]);
+            // Answered at once: one that answers nothing would make room for others.
+            let (now, id) = (at(from + k * gap), from + k);
+            let server = sent(b, now, id).expect("an idle server");
+            b.handle(now, Event::Ended(plain_end(id, server, Outcome::Served)), &mut vec![]);
         }
         b.markets[0].open
     };
