--- a/src/logic.rs
+++ b/src/logic.rs
@@ -99,7 +99,6 @@
         // calls that fail in a row mean that discovery is busy. A watch that has served and broken is opened
         // anew soon: what it misses counts as told. The last list stays valid.
         if self.settings.list_on_request && matches!(kind, ListKind::Cached | ListKind::Failed) {
-            // Without a server to send to nothing is served before the first list.
             let known = entries.iter().any(|e| e.state == ServerState::Ready);
             let longest = if known { 30.0 } else { 5.0 * ASK_MOST };
             let spread = self.settings.rules.ask_within.as_secs_f64().clamp(1.0, longest) / 5.0;
@@ -252,13 +251,15 @@
                 tight.iter().for_each(|&k| taken[c][k] += brought * lines[k].speed);
             }
         }
-        // A blind node deals with as many servers as it can hear of in time. Those that are closed, and what
-        // cold ones can't take, make room for others: else all that would fall on the few that are well.
+        // A blind node deals with as many servers as it can hear of in time. Without reports closed ones, and
+        // what cold ones can't take, make room: else all that would fall on the few that are well.
+        let untold = self.settings.reports == Reports::Absent;
         let few: Vec<f64> =
             self.markets.iter_mut().map(|m| (NEWS * m.steady.young(now)).max(LEAST_OPEN).ceil()).collect();
         for (open, few) in open.iter_mut().zip(few).filter(|_| self.blind) {
             let mut sum = 0.0;
             let takes = |k: usize| match self.servers[self.ready[k]].price > self.going_price + CLOSED {
+                _ if !untold => 1.0,
                 true => 0.0,
                 false => lines[k].most.min(1.0),
             };
@@ -304,8 +305,7 @@
         }
     }
 
-    /// Sets the thresholds that turn away the part of recent arrivals that shares leave without a place: one
-    /// over all classes of a placement, and one over each by itself.
+    /// Sets the thresholds that turn away a part of recent arrivals: over all of a placement, and by class.
     fn set_thresholds(&mut self, leader: usize, refused: f64) {
         let worths = &self.markets[leader].worths;
         let all = threshold(worths.iter().map(|w| w.1), refused);
