--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // Each test file uses its part.
 
+use fault_control::{SharedControl, VARIABLE};
 use serde_json::{json, Value};
 use socket2::SockRef;
 use std::future::Future;
@@ -191,6 +192,19 @@
         let _ = within("writing", self.0.get_mut().write_all(text.as_bytes())).await;
     }
 
+    /// Waits for the other side to end the connection, and says whether it closed without having read all that was sent.
+    pub async fn ended_unread(&mut self) -> bool {
+        let mut rest = Vec::new();
+        let ended = within("the connection's end", self.0.read_to_end(&mut rest)).await;
+        assert!(rest.is_empty(), "ended only after {:?}", String::from_utf8_lossy(&rest));
+        // A close over unread bytes resets the connection, which may show a moment after its end.
+        let reset = ended.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset);
+        reset
+            || within("the reset", self.0.get_ref().ready(tokio::io::Interest::ERROR))
+                .await
+                .is_ok_and(|r| r.is_error())
+    }
+
     /// Waits for the other side to close, whatever it still says.
     pub async fn ended(&mut self) {
         let mut rest = Vec::new();
@@ -354,6 +368,36 @@
 /// What nodes are told that they may use: it holds 128 clients with large bodies.
 pub const MEMORY_MB: u64 = 64;
 
+/// System calls of a node that fail as a test says.
+pub struct FaultyCalls {
+    pub control: SharedControl,
+    path: PathBuf,
+    library: PathBuf,
+}
+
+impl FaultyCalls {
+    /// None fails yet.
+    pub fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let path = path.join(format!("{}-{number}.faults", std::process::id()));
+        let control = SharedControl::create(&path).expect("a control file");
+        let this = std::env::current_exe().expect("this program");
+        let library = this.with_file_name("libfault_shim.so");
+        assert!(library.exists(), "{library:?} was not built");
+        FaultyCalls { control, path, library }
+    }
+
+    /// What a node is started with to have them.
+    pub fn variables(&self) -> [(&str, &str); 2] {
+        [
+            ("LD_PRELOAD", self.library.to_str().expect("a path of text")),
+            (VARIABLE, self.path.to_str().expect("a path of text")),
+        ]
+    }
+}
+
 /// A node's process.
 pub struct Node {
     child: Child,
@@ -477,6 +521,21 @@
         (node, discovery, watch)
     }
 
+    /// The same with calls that may fail.
+    pub async fn faulty(faults: &FaultyCalls, servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
+        let discovery = Peer::new().await;
+        let config = json!({
+            "name": "n", "listen": "127.0.0.1:0", "seed": "1f", "discovery": discovery.address().to_string(),
+            "limits": {"sockets": 1024, "memory_mb": MEMORY_MB}, "settings": settings(),
+        });
+        let node = Node::told(config, &faults.variables()).await;
+        let (mut watch, _) = discovery.watch().await;
+        let members: Vec<Value> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
+        watch.list(1, true, &members).await;
+        node.ready().await;
+        (node, discovery, watch)
+    }
+
     /// The same with a console.
     pub async fn operated(servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
         let discovery = Peer::new().await;
--- /dev/null
+++ b/node/tests/faults.rs
@@ -0,0 +1,73 @@
+//! System calls that fail, stall or tell another time, as Linux documents them.
+
+mod common;
+use common::*;
+use fault_control::Call;
+use std::time::Duration;
+
+/// For a moment the system may be out of anything: that is no reason not to start.
+#[tokio::test]
+async fn a_start_survives_calls_that_fail_for_a_moment() {
+    let faults = FaultyCalls::new();
+    let server = Peer::new().await;
+    faults.control.faults(Call::Socket).fail_next(3, &[libc::ENFILE]);
+    faults.control.faults(Call::Bind).fail_next(2, &[libc::EADDRINUSE]);
+    faults.control.faults(Call::Listen).fail_next(2, &[libc::EADDRINUSE]);
+    faults.control.faults(Call::OpenRead).fail_next(2, &[libc::ENFILE]);
+    let (node, _discovery, _watch) = Node::faulty(&faults, &[("s", &server)]).await;
+    for call in [Call::Socket, Call::Bind, Call::Listen, Call::OpenRead] {
+        assert_eq!(faults.control.faults(call).left(), 0, "{call:?} was not made");
+    }
+    let mut client = node.client().await;
+    client.send("safe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
+
+/// A change that discovery has written counts as told, also where the node is held up just then for longer than it would
+/// wait for the watch to say anything.
+#[tokio::test]
+async fn a_change_that_came_while_the_node_was_held_up_is_taken() {
+    let faults = FaultyCalls::new();
+    let server = Peer::new().await;
+    let (node, discovery, mut watch) = Node::faulty(&faults, &[("s", &server)]).await;
+    let held_up = &faults.control.after_wait;
+    held_up.pause_next(1, Duration::from_secs(4));
+    while held_up.begun() == 0 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    watch.list(2, false, &[member("s", server.address(), "leaving")]).await;
+    tokio::select! {
+        () = node.holds(2) => {}
+        _ = discovery.request() => panic!("the watch was given up with a change on it"),
+    }
+}
+
+/// What comes in the very moment in which a resting connection is closed was not read: its client sends it again. Read and
+/// thrown away it would be lost.
+#[tokio::test]
+async fn a_request_that_crosses_the_idle_close_is_not_read() {
+    let faults = FaultyCalls::new();
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::faulty(&faults, &[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("safe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    let closing = &faults.control.before_shutdown;
+    closing.pause_next(1, Duration::from_secs(1));
+    while closing.begun() == 0 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    client.send("safe", "20000m").await;
+    assert!(client.ended_unread().await, "the request was read, and has no answer");
+    // Nothing of it went on, and it is served where it is sent again.
+    let mut again = node.client().await;
+    again.send("safe", "20000m").await;
+    let request = wire.read().await.expect("the repeated request");
+    assert!(request.start.starts_with("GET /safe"));
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(again.read().await.expect("an answer").status(), 200);
+}
