--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -121,18 +121,33 @@
 /// Fewer descriptors than this leave no room to serve anyone.
 const LEAST_SOCKETS: usize = 64;
 
-impl Config {
-    /// Reads the process's variables and the file that they name.
-    pub fn from_env() -> Result<Self, ConfigError> {
-        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+/// The file that the process's variables name, as it was read.
+pub struct ConfigText {
+    path: String,
+    text: String,
+}
+
+impl ConfigText {
+    /// Reads it by `read`.
+    pub fn from_env(read: impl FnOnce(&str) -> std::io::Result<String>) -> Result<ConfigText, ConfigError> {
         let path = variable("GW_CONFIG").ok_or(ConfigError::NoFile)?;
-        let text = match std::fs::read_to_string(&path) {
-            Ok(text) => text,
-            Err(source) => return Err(ConfigError::Unreadable { path, source }),
-        };
-        Self::read(&path, &text, variable)
+        match read(&path) {
+            Ok(text) => Ok(ConfigText { path, text }),
+            Err(source) => Err(ConfigError::Unreadable { path, source }),
+        }
     }
 
+    /// What it says, under the process's variables.
+    pub fn parse(&self) -> Result<Config, ConfigError> {
+        Config::read(&self.path, &self.text, variable)
+    }
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+impl Config {
     /// The variables, where set, prevail over the file.
     fn read(path: &str, text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = || path.to_owned();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod body;
+mod calls;
 mod config;
 mod console;
 mod discovery;
@@ -16,13 +17,15 @@
 mod stats;
 
 use backend::Backends;
-use config::Config;
+use calls::retry_at_start;
+use config::{Config, ConfigError, ConfigText};
 use console::Console;
 use engine::Engine;
 use frontend::{Frontend, Phase};
 use handover::Keeper;
 use rustix::process::{getrlimit, Resource};
 use std::error::Error;
+use std::io::Write as _;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +49,9 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Where lists are pushed, a new process waits so long for its first before it goes by the one of its configuration.
 const FIRST_LIST: Duration = Duration::from_millis(600);
+/// For so long a configuration that can't be read is asked for again: what the new discovery says counts as told 4 s after
+/// the signal.
+const RELOAD_PATIENCE: Duration = Duration::from_secs(2);
 /// How often it looks whether it can serve.
 const UNREADY: Duration = Duration::from_millis(10);
 /// Connections that the system holds until they are accepted.
@@ -53,24 +59,29 @@
 
 fn main() -> ExitCode {
     let run = || -> Result<(), Box<dyn Error>> {
-        let config = Config::from_env()?;
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let text = ConfigText::from_env(|path| {
+            retry_at_start(format_args!("reading {path}"), || std::fs::read_to_string(path))
+        })?;
+        let config = text.parse()?;
+        let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = retry_at_start("the runtime's start", build)?;
         LocalSet::new().block_on(&runtime, run(config))
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("birchswitch: {error}");
+            let _ = writeln!(std::io::stderr(), "birchswitch: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let handled = |kind| retry_at_start("the handling of a signal", || signal(kind));
+    let mut terminate = handled(SignalKind::terminate())?;
+    let mut interrupt = handled(SignalKind::interrupt())?;
     // Without a handler SIGHUP ends the process; with one it is borne to the very end.
-    let mut hangup = signal(SignalKind::hangup())?;
+    let mut hangup = handled(SignalKind::hangup())?;
     let settings = config.site.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let warm_up = settings.rules.warm_up;
@@ -120,7 +131,10 @@
     );
     let backends = Rc::new(Backends::new(limits, config.site.names, config.site.fields));
     let engine = Engine::new(config.name, settings, config.seed, backends.clone(), config.discovery)?;
-    let bound = |address| listen(address).map_err(|e| format!("cannot listen on {address}: {e}"));
+    let bound = |address| {
+        let listening = retry_at_start(format_args!("the listener at {address}"), || listen(address));
+        listening.map_err(|e| format!("cannot listen on {address}: {e}"))
+    };
     let inherited = config.inherited.is_some();
     let listener = match &config.inherited {
         Some(number) => TcpListener::from_std(handover::adopt(number, config.listen)?)?,
@@ -141,7 +155,7 @@
     let reloading = engine.clone();
     spawn_local(async move {
         while hangup.recv().await.is_some() {
-            reload(&reloading);
+            reload(&reloading).await;
         }
     });
     let sharing = backends.clone();
@@ -213,8 +227,8 @@
 
 /// Reads the configuration again. The whole file is checked before anything of it is used: one that is bad changes
 /// nothing. What the file says prevails now over what the environment said at the start.
-fn reload(engine: &Engine) {
-    match Config::from_env() {
+async fn reload(engine: &Engine) {
+    match read_again(engine).await.and_then(|text| text.parse()) {
         Ok(config) => {
             engine.log(format_args!("configuration read again"));
             config.discovery_in_file.into_iter().for_each(|address| engine.rediscover(address));
@@ -223,6 +237,25 @@
     }
 }
 
+/// Reads the configuration's text. Where that fails for a moment the signal is owed another try: it isn't sent again.
+async fn read_again(engine: &Engine) -> Result<ConfigText, ConfigError> {
+    let by = tokio::time::Instant::now() + RELOAD_PATIENCE;
+    let mut logged = false;
+    loop {
+        match ConfigText::from_env(|path| std::fs::read_to_string(path)) {
+            Err(ConfigError::Unreadable { path, source })
+                if calls::may_pass(&source) && tokio::time::Instant::now() < by =>
+            {
+                if !std::mem::replace(&mut logged, true) {
+                    engine.log(format_args!("reading {path} failed, and is tried again: {source}"));
+                }
+                tokio::time::sleep(calls::TRY_AGAIN).await;
+            }
+            read => return read,
+        }
+    }
+}
+
 fn ms(time: Duration) -> u128 {
     time.as_millis()
 }
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -71,3 +71,33 @@
     wire.answer("200 OK", "", "").await;
     assert_eq!(again.read().await.expect("an answer").status(), 200);
 }
+
+/// SIGHUP comes once: a configuration that can't be read for a moment is read a moment later.
+#[tokio::test]
+async fn a_configuration_that_cannot_be_read_for_a_moment_is_read_again() {
+    let faults = FaultyCalls::new();
+    let (server, other) = (Peer::new().await, Peer::new().await);
+    let (mut node, _discovery, _watch) = Node::faulty(&faults, &[("s", &server)]).await;
+    faults.control.faults(Call::OpenRead).fail_next(3, &[libc::ENFILE, libc::EIO]);
+    node.reconfigure("discovery", serde_json::json!(other.address().to_string())).await;
+    let (_, request) = other.request().await;
+    assert!(request.start.starts_with("GET /registry/instances"));
+    assert_eq!(faults.control.faults(Call::OpenRead).left(), 0);
+}
+
+/// A connection that ended before it was accepted says nothing of the next one, which may be taken at once.
+#[tokio::test]
+async fn a_connection_that_ends_before_it_is_accepted_keeps_nobody_waiting() {
+    let faults = FaultyCalls::new();
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::faulty(&faults, &[("s", &server)]).await;
+    // With a pause behind each of them it would take nearly a minute.
+    let ended = [libc::ECONNABORTED, libc::EINTR, libc::ENETUNREACH, libc::EHOSTUNREACH];
+    faults.control.faults(Call::Accept).fail_next(1000, &ended);
+    let mut client = node.client().await;
+    client.send("safe", "60000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    assert_eq!(faults.control.faults(Call::Accept).left(), 0);
+}
