Leave what crosses an idle close unread, accept on at once after ECONNABORTED, outlast a shortage

Three causes that the shim showed, one test each in node/tests/faults.rs, all seen to fail before: - what came between the end of a resting connection and its close was read and thrown away with no answer. Such a request is lost by the pages; unread, its client is reset and sends it again. The discard stays for malformed heads. - every failed accept paused all accepting for 50 ms; now only errors of resources do, and those of one connection are counted. Same for the console. - ENOBUFS or EADDRNOTAVAIL of the node's own counted against the server, and ENFILE spent all attempts within a millisecond; connecting is tried again for 63 ms, then not counted against anyone. EINTR is retried in the gate.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -1,6 +1,7 @@
 //! The servers' side: their addresses and states, connections to them, and what is sent over these.
 
 use crate::body::{hold, Outgoing, Passed, Passing, Sending};
+use crate::calls;
 use crate::discovery::{Phase, ServerList};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, HELD_BODY};
 use crate::handover::Word;
@@ -36,6 +37,8 @@
 
 /// An answer of unknown length is held for so long in the hope that it is small. What is large is timed by its first bytes.
 const HELD_FOR: Duration = Duration::from_millis(50);
+/// Milliseconds between the tries of a connection for which the node itself has no descriptor, port or buffer.
+const SHORTAGE_PAUSES_MS: [u64; 6] = [1, 2, 4, 8, 16, 32];
 /// Most that waits to be written on one connection, beside one read's worth.
 pub const MOST_BUFFERED: usize = 32 << 10;
 
@@ -353,11 +356,11 @@
         let permit = self.slot().await.ok_or(Outcome::NotSent)?;
         let generation = server.generation.get();
         self.stats.count(|c| c.connects += 1);
-        let connect = TcpStream::connect(server.address.get());
+        let connect = connect_despite_shortage(server.address.get());
         let stream = match timeout(self.limits.connect_timeout, connect).await {
             Ok(Ok(stream)) => stream,
             // The node's own shortage says nothing of the server.
-            Ok(Err(error)) if no_descriptors(&error) => return Err(Outcome::NotSent),
+            Ok(Err(error)) if calls::is_shortage(&error) => return Err(Outcome::NotSent),
             _ => return Err(Outcome::Unreachable),
         };
         // Word may have come meanwhile that the server moved or restarted: what answers at the address that it had
@@ -626,10 +629,15 @@
     drop(permit);
 }
 
-fn no_descriptors(error: &std::io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
+/// Connects, and tries a few times more where the node itself is short of something for a moment.
+async fn connect_despite_shortage(address: SocketAddr) -> std::io::Result<TcpStream> {
+    for pause in SHORTAGE_PAUSES_MS.map(Duration::from_millis) {
+        match TcpStream::connect(address).await {
+            Err(error) if calls::is_shortage(&error) => tokio::time::sleep(pause).await,
+            result => return result,
+        }
+    }
+    TcpStream::connect(address).await
 }
 
 /// A backend's state and start by a list, under what operators have said of it. A list may tell of a restart during a
--- a/node/src/console.rs
+++ b/node/src/console.rs
@@ -1,7 +1,7 @@
 //! The operators' side: a listener of its own, with places of its own, and the calls that it takes.
 
 use crate::engine::Engine;
-use crate::frontend::{discard, Phase, ACCEPT_PAUSE, MOST_LINGERING};
+use crate::frontend::{accept_failed, discard, Phase, MOST_LINGERING};
 use crate::gate::{self, Problem};
 use crate::handover::{Keeper, Word};
 use bytes::BytesMut;
@@ -109,10 +109,7 @@
                     }
                     callers.push_back(spawn_local(self.clone().call(stream)).abort_handle());
                 }
-                Err(error) => {
-                    self.engine.log(format_args!("console accept: {error}"));
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
+                Err(error) => accept_failed(&self.engine, "console accept", &error).await,
             }
         }
     }
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{AnswerBody, MOST_BUFFERED};
 use crate::body::{hold, BodyError, Outgoing, Upload, STALL};
+use crate::calls;
 use crate::engine::{Answer, Engine, Incoming};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
 use crate::places::Places;
@@ -68,8 +69,8 @@
 const LAST_CHANCE: Duration = Duration::from_millis(100);
 /// No client waits for longer.
 const LONGEST_WAIT: Duration = Duration::from_secs(3600);
-/// A failed `accept` is not tried again at once.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// `accept` that failed for want of resources is not tried again at once.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const TENANT: HeaderName = HeaderName::from_static("x-tenant-id");
@@ -316,10 +317,7 @@
                 biased; // The same holds here: the queue first, then the end.
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.clone().connected(stream, permit),
-                    Err(error) => {
-                        self.engine.log(format_args!("accept: {error}"));
-                        tokio::time::sleep(ACCEPT_PAUSE).await;
-                    }
+                    Err(error) => accept_failed(&self.engine, "accept", &error).await,
                 },
                 () = &mut closing => break,
             }
@@ -467,8 +465,9 @@
                 break;
             }
         }
-        // Closing on unread bytes would reset the connection, and might take the word about them from the client.
-        if client.malformed.get() || client.stage.get() == Stage::Leaving && client.crossed() {
+        // Closing on unread bytes would reset the connection, and might take the word about them from the client. Where
+        // there was no word the reset is one: what crossed the closing was not read, and its client may send it again.
+        if client.malformed.get() {
             let _ = timeout(LINGER, discard(&client.socket, MOST_LINGERING)).await;
         }
         if client.unread.get() {
@@ -683,6 +682,15 @@
     }
 }
 
+/// Logs a failed `accept`, and waits where the next would fail as well.
+pub async fn accept_failed(engine: &Engine, what: &str, error: &std::io::Error) {
+    if calls::is_one_connections(error) {
+        return engine.stats().turned_down("ended before it was accepted");
+    }
+    engine.log(format_args!("{what}: {error}"));
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
 fn close(response: &mut Response<ClientBody>) {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BytesMut};
 use hyper::StatusCode;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
 use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
@@ -108,7 +109,7 @@
                 _ => READ,
             });
             match self.socket.try_read_buf(&mut self.held) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if passes(&error) => {}
                 read => return Poll::Ready(read),
             }
         }
@@ -211,7 +212,7 @@
         loop {
             ready!(me.socket.poll_write_ready(cx))?;
             match write(&me.socket) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if passes(&error) => {}
                 written => {
                     if me.next == Next::Nothing && me.held.is_empty() {
                         (me.next, me.interim) = (Next::Head, 0);
@@ -249,10 +250,20 @@
     }
 }
 
+/// Whether a call on a socket is to be made again, at once or when the socket is ready.
+fn passes(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// Whether a socket is open and nothing has come on it. Asks the system itself: what the runtime knows may be older.
 pub fn quiet(socket: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
-    SockRef::from(socket).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    loop {
+        match SockRef::from(socket).peek(&mut byte) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            peeked => return peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock),
+        }
+    }
 }
 
 /// Whether the other side has closed a socket or reset it, also where unread bytes stand before that. Asks the system
@@ -261,7 +272,12 @@
     let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
     let mut asked = [PollFd::new(socket, ended)];
     let now = Timespec::default();
-    matches!(poll(&mut asked, Some(&now)), Ok(1..)) && asked[0].revents().intersects(ended)
+    loop {
+        match poll(&mut asked, Some(&now)) {
+            Err(Errno::INTR) => {}
+            polled => return matches!(polled, Ok(1..)) && asked[0].revents().intersects(ended),
+        }
+    }
 }
 
 /// Whether bytes are the beginning of a request, or of what may become one.
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -101,3 +101,18 @@
     assert_eq!(client.read().await.expect("an answer").status(), 200);
     assert_eq!(faults.control.faults(Call::Accept).left(), 0);
 }
+
+/// What the node itself runs out of for a moment says nothing of a server, and fails no request that can wait a moment.
+#[tokio::test]
+async fn a_request_outlasts_a_shortage_of_the_nodes_own() {
+    let faults = FaultyCalls::new();
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::faulty(&faults, &[("s", &server)]).await;
+    let short = [libc::ENFILE, libc::ENOBUFS, libc::EADDRNOTAVAIL];
+    faults.control.faults(Call::Connect).fail_next(5, &short);
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
