Hear what discovery has written where a call is given up or the configuration moves

Cause: what discovery writes counts as told, but the node dropped connections with unread lines on them: a watch whose timer was up was given up before its connection was read (after a hold-up both are due in one turn); a call given up after 2.5 s was closed with its answer on the way; SIGHUP closed the old watch at once; and a Watch of the balancer, due from a failure before a new configuration, aborted the call under way and began at the queue's end. Change: the connection is read before the dialogue's timers; a silent call is heard on for 6 s beside the next one; the old address is heard until the new one has told its whole list; one call at a time. Three tests of reload.rs said that the old watch goes at once; they now say that it goes once the new list is there, which is as strict.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -8,6 +8,8 @@
 use hyper_util::rt::TokioIo;
 use serde::de::IgnoredAny;
 use serde::Deserialize;
+use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +28,8 @@
 const OPENING_PUSHED: Duration = Duration::from_millis(300);
 /// For the connection to come up.
 const CONNECT: Duration = Duration::from_secs(1);
+/// For what came while the whole node was held up.
+const LAST_CHANCE: Duration = Duration::from_millis(5);
 /// Pauses before a broken watch is opened again: the first, and the longest.
 const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
 // A watch falls silent, the one in its place says nothing either, and the third has most of a second to answer.
@@ -203,12 +207,15 @@
     }
 }
 
-/// Keeps a watch open for good, for sites where lists are pushed.
-pub async fn follow(engine: Rc<Engine>) {
+/// Keeps a watch open for good, for sites where lists are pushed. Ends once the list is to be had elsewhere.
+pub async fn follow(engine: Rc<Engine>, address: SocketAddr) {
     let (mut pause, mut opening) = (PAUSE[0], OPENING_PUSHED);
     loop {
         let (before, began) = (engine.watches(), Instant::now());
-        let error = watch(&engine, opening).await;
+        let error = watch(&engine, address, opening).await;
+        if engine.discovery() != address {
+            return;
+        }
         opening = (opening * 2).min(OPENING);
         if engine.watches() != before {
             (pause, opening) = (PAUSE[0], OPENING_PUSHED);
@@ -227,27 +234,86 @@
 }
 
 /// The same for one watch, where the balancer asks for it.
-pub async fn watch_once(engine: &Rc<Engine>) -> WatchError {
-    watch(engine, OPENING).await
+pub async fn watch_once(engine: &Rc<Engine>, address: SocketAddr) -> WatchError {
+    watch(engine, address, OPENING).await
 }
 
 /// Opens one watch from the version held on, which may take so long, and hands on what it brings until it ends.
-async fn watch(engine: &Rc<Engine>, opening: Duration) -> WatchError {
-    let address = engine.discovery();
+async fn watch(engine: &Rc<Engine>, address: SocketAddr, opening: Duration) -> WatchError {
     if engine.needs_whole_list() {
         // The version held comes from another address and may mean anything here, also one that is newer.
-        match timeout(OPENING, fetch(address)).await {
-            Ok(Ok(list)) => engine.list(&list),
-            Ok(Err(error)) => return error,
-            Err(_) => return WatchError::Silent,
+        let call = Call::new(engine, address, OPENING);
+        if let Err(error) = call.clone().hear(fetch(call)).await {
+            return error;
         }
     }
-    match run_watch(engine, address, opening).await {
+    let call = Call::new(engine, address, opening);
+    match call.clone().hear(run_watch(call)).await {
         Ok(()) => WatchError::Ended,
         Err(error) => error,
     }
 }
 
+/// One call to discovery, and how long it may still be silent.
+#[derive(Clone)]
+struct Call {
+    engine: Rc<Engine>,
+    address: SocketAddr,
+    /// By when it has to say something.
+    silent_until: Rc<Cell<Instant>>,
+    /// It was given up for its silence, and what it may still say is heard beside another call.
+    given_up: Rc<Cell<bool>>,
+}
+
+impl Call {
+    fn new(engine: &Rc<Engine>, address: SocketAddr, patience: Duration) -> Self {
+        let silent_until = Rc::new(Cell::new(Instant::now() + patience));
+        Call { engine: engine.clone(), address, silent_until, given_up: Rc::default() }
+    }
+
+    /// It has said something, and has to say more within [`SILENCE`].
+    fn has_spoken(&self) {
+        self.silent_until.set(Instant::now() + SILENCE);
+    }
+
+    /// Hands on a list.
+    fn tell(&self, list: &ServerList) {
+        // Of a call that was given up only what is newer than all that was heard since counts.
+        let awaited = self.engine.needs_whole_list() && list.complete;
+        if !self.given_up.get() || awaited || list.revision > self.engine.revision() {
+            self.engine.list(list, self.address);
+        }
+    }
+
+    /// Follows a conversation to its end, or until it has been silent for too long. What discovery has written counts as
+    /// told, whether or not the node still waits for it: a silent conversation is heard on beside the next one.
+    async fn hear(
+        self,
+        conversation: impl Future<Output = Result<(), WatchError>> + 'static,
+    ) -> Result<(), WatchError> {
+        let mut conversation = Box::pin(conversation);
+        loop {
+            let by = self.silent_until.get();
+            if let Ok(ended) = timeout_at(by, conversation.as_mut()).await {
+                return ended;
+            }
+            if self.silent_until.get() > by {
+                continue;
+            }
+            // Something may have come while the whole node was held up: the system is asked once more.
+            if let Ok(ended) = timeout(LAST_CHANCE, conversation.as_mut()).await {
+                return ended;
+            }
+            if self.silent_until.get() <= Instant::now() {
+                break;
+            }
+        }
+        self.given_up.set(true);
+        self.engine.hear_beside(self.address, conversation);
+        Err(WatchError::Silent)
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<TcpStream, WatchError> {
     match timeout(CONNECT, TcpStream::connect(address)).await {
         Ok(stream) => stream.map_err(WatchError::Connect),
@@ -260,73 +326,73 @@
     request.body(Empty::new()).expect("a fixed path and an address are valid")
 }
 
+/// Drives a connection and a dialogue on it. The connection comes first: what it has brought is read before any of the
+/// dialogue's timers, and before its own end is noticed.
+async fn converse<T>(
+    connection: impl Future,
+    dialogue: impl Future<Output = Result<T, WatchError>>,
+) -> Result<T, WatchError> {
+    let mut dialogue = std::pin::pin!(dialogue);
+    tokio::select! {
+        biased;
+        _ = connection => {}
+        ended = dialogue.as_mut() => return ended,
+    }
+    dialogue.await
+}
+
 /// Asks for the whole list, once.
-async fn fetch(address: SocketAddr) -> Result<ServerList, WatchError> {
-    let (mut sender, connection) = http1::handshake(TokioIo::new(connect(address).await?)).await?;
-    let list = async {
-        let response = sender.send_request(request(address, "")).await?;
+async fn fetch(call: Call) -> Result<(), WatchError> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(connect(call.address).await?)).await?;
+    let dialogue = async {
+        let response = sender.send_request(request(call.address, "")).await?;
         if response.status() != StatusCode::OK {
             return Err(WatchError::Status(response.status()));
         }
         let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
         let list = ServerList::parse(&body.map_err(|e| WatchError::BadLine(e.to_string()))?.to_bytes())?;
-        match list.complete {
-            true => Ok(list),
-            false => Err(WatchError::BadLine("the list is not complete".to_owned())),
+        if !list.complete {
+            return Err(WatchError::BadLine("the list is not complete".to_owned()));
         }
+        call.tell(&list);
+        Ok(())
     };
-    let mut connection = std::pin::pin!(connection);
-    let mut list = std::pin::pin!(list);
-    tokio::select! {
-        biased;
-        list = list.as_mut() => list,
-        // The answer may end with its connection: what has come is still to be read.
-        ended = connection.as_mut() => match ended {
-            Ok(()) => list.await,
-            Err(error) => Err(error.into()),
-        },
-    }
+    converse(connection, dialogue).await
 }
 
-async fn run_watch(engine: &Rc<Engine>, address: SocketAddr, opening: Duration) -> Result<(), WatchError> {
-    let by = Instant::now() + opening;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(connect(address).await?)).await?;
+async fn run_watch(call: Call) -> Result<(), WatchError> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(connect(call.address).await?)).await?;
     // The connection is driven here, so that nothing of it outlives the watch.
-    let lines = async {
-        let since = engine.revision();
-        let request = request(address, &format!("?follow=1&since={since}"));
-        let response = timeout_at(by, sender.send_request(request)).await;
-        let response = response.map_err(|_| WatchError::Silent)??;
+    let dialogue = async {
+        let since = call.engine.revision();
+        let request = request(call.address, &format!("?follow=1&since={since}"));
+        let response = sender.send_request(request).await?;
         if response.status() != StatusCode::OK {
             return Err(WatchError::Status(response.status()));
         }
-        engine.watching();
+        if !call.given_up.get() {
+            call.engine.watching();
+        }
         let mut body = response.into_body();
         let mut held = Documents::default();
-        let mut whole_by = Instant::now() + SILENCE;
-        loop {
-            // A machine that vanishes leaves its connections open and silent: only the clock tells. So it does of a list
-            // that has begun and does not end, whatever else comes.
-            let by = if held.begun() { whole_by } else { Instant::now() + SILENCE };
-            let frame = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)?;
-            let Some(frame) = frame else { return Ok(()) };
+        call.has_spoken();
+        // A machine that vanishes leaves its connections open and silent: only the clock tells. So it does of a list
+        // that has begun and does not end, whatever else comes.
+        while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
             if !held.begun() {
-                whole_by = Instant::now() + SILENCE;
+                call.has_spoken();
             }
             held.extend(&data);
             // After a bad one the next may rest on what it said: a new watch starts from the last good one.
             while let Some(document) = held.next()? {
-                engine.list(&ServerList::parse(&document)?);
-                whole_by = Instant::now() + SILENCE;
+                call.tell(&ServerList::parse(&document)?);
+                call.has_spoken();
             }
         }
+        Ok(())
     };
-    tokio::select! {
-        biased; // What has come is read before the end is noticed.
-        ended = lines => ended,
-        ended = connection => Err(ended.map_or_else(WatchError::Http, |()| WatchError::Ended)),
-    }
+    converse(connection, dialogue).await
 }
 
 #[cfg(test)]
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -32,6 +32,8 @@
 
 /// Most servers of which a line of counters tells each by itself.
 const SERVERS_WRITTEN: usize = 64;
+/// A call that was given up for its silence is heard for so long beside others.
+const SILENT_CALL: Duration = Duration::from_secs(6);
 /// A choice among probed servers is made within a few milliseconds: what a probe says later serves none.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -143,6 +145,10 @@
     sent: FxHashMap<ServerId, [u32; 3]>,
     /// The watch, or the task that keeps one open.
     watch: Option<AbortHandle>,
+    /// The same at the address before this one. It is heard until this one has told its whole list.
+    watch_before: Option<AbortHandle>,
+    /// A call that was given up for its silence, and may still say something.
+    silent_call: Option<AbortHandle>,
 }
 
 /// See the module's own words.
@@ -198,6 +204,8 @@
             next_request: 0,
             sent: FxHashMap::default(),
             watch: None,
+            watch_before: None,
+            silent_call: None,
         };
         Ok(Rc::new_cyclic(|me| Engine {
             me: me.clone(),
@@ -259,6 +267,8 @@
     /// A watch is open, though it may bring nothing for long.
     pub fn watching(&self) {
         self.watches.set(self.watches.get() + 1);
+        // It tells all that was missed: nothing is to be had any more from one that was given up.
+        self.state.borrow_mut().silent_call.take().iter().for_each(AbortHandle::abort);
         if self.asked {
             self.feed(Event::List { kind: ListKind::Changes, entries: Vec::new() });
         }
@@ -292,27 +302,47 @@
         }
     }
 
-    /// The list of servers is elsewhere from now on. Nothing that the old address still says is heard; the servers
-    /// last known stay until the new one has told its whole list.
+    /// The list of servers is elsewhere from now on. What is on its way from the old address counts as told, and is heard
+    /// until the new one has told its whole list; the servers last known stay until then.
     pub fn rediscover(&self, address: SocketAddr) {
         if self.discovery.replace(address) != address {
             self.log(format_args!("discovery is now {address}"));
             self.moved.set(true);
-            self.watch(&mut self.state.borrow_mut());
+            let state = &mut *self.state.borrow_mut();
+            let before = std::mem::replace(&mut state.watch_before, state.watch.take());
+            before.iter().for_each(AbortHandle::abort);
+            self.watch(state);
         }
     }
 
+    /// Goes on hearing a call that was given up for its silence, beside the next one. Where there is one already that
+    /// one stays: it is the first in turn.
+    pub fn hear_beside(&self, address: SocketAddr, call: impl Future + 'static) {
+        let state = &mut *self.state.borrow_mut();
+        let held = state.silent_call.as_ref().is_some_and(|task| !task.is_finished());
+        if held || self.discovery.get() != address {
+            return;
+        }
+        let task = spawn_local(async move {
+            let _ = tokio::time::timeout(SILENT_CALL, call).await;
+        });
+        state.silent_call = Some(task.abort_handle());
+    }
+
     /// Takes in the list as last known before the start. The balancer is owed one, be it empty.
     pub fn known(&self, list: Option<&ServerList>) {
         let entries = list.map(|l| self.take_list(l)).unwrap_or_default();
         self.feed(Event::List { kind: ListKind::Cached, entries });
     }
 
-    /// Takes in what discovery says.
-    pub fn list(&self, list: &ServerList) {
+    /// Takes in what discovery says, at the address that it says it from.
+    pub fn list(&self, list: &ServerList, from: SocketAddr) {
         let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
         self.lists_taken.set(self.lists_taken.get() + 1);
-        self.moved.set(self.moved.get() && !list.complete);
+        if list.complete && from == self.discovery.get() {
+            self.moved.set(false);
+            self.state.borrow_mut().watch_before.take().iter().for_each(AbortHandle::abort);
+        }
         let entries = self.take_list(list);
         // Logged where it says anything: discovery may send lists of no change.
         if !entries.is_empty() {
@@ -732,21 +762,25 @@
         });
     }
 
-    /// Replaces the watch. Where lists come only when asked for there is but one, and its end is told as a failed call.
+    /// Starts a watch, unless one is being opened or is open already. Where lists come only when asked for there is but one,
+    /// and its end is told as a failed call.
     fn watch(&self, state: &mut State) {
-        let (me, asked) = (self.me.clone(), self.asked);
+        if state.watch.as_ref().is_some_and(|task| !task.is_finished()) {
+            return;
+        }
+        let (me, asked, address) = (self.me.clone(), self.asked, self.discovery.get());
         let task = spawn_local(async move {
             let Some(engine) = me.upgrade() else { return };
             if !asked {
-                discovery::follow(engine.clone()).await;
+                return discovery::follow(engine, address).await;
+            }
+            let error = discovery::watch_once(&engine, address).await;
+            if engine.discovery() == address {
+                engine.log(format_args!("watch: {error}"));
+                engine.feed(Event::List { kind: ListKind::Failed, entries: Vec::new() });
             }
-            let error = discovery::watch_once(&engine).await;
-            engine.log(format_args!("watch: {error}"));
-            engine.feed(Event::List { kind: ListKind::Failed, entries: Vec::new() });
         });
-        if let Some(old) = state.watch.replace(task.abort_handle()) {
-            old.abort();
-        }
+        state.watch = Some(task.abort_handle());
     }
 }
 
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -116,3 +116,19 @@
     wire.answer("200 OK", "", "").await;
     assert_eq!(client.read().await.expect("an answer").status(), 200);
 }
+
+/// A call that was given up for its silence may be answered all the same: what it tells counts as told.
+#[tokio::test]
+async fn a_late_answer_of_discovery_is_heard_beside_the_next_call() {
+    let server = Peer::new().await;
+    let (node, discovery, watch) = Node::serving(&[("s", &server)]).await;
+    drop(watch);
+    let (mut late, _) = discovery.request().await;
+    // Only once the first is given up there is a second.
+    let (_second, _) = discovery.request().await;
+    late.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+    let mut late = Watch(late);
+    late.list(2, false, &[member("s", server.address(), "leaving")]).await;
+    node.holds(2).await;
+    assert_eq!(node.client().await.ask("safe").await.expect("an answer").status(), 503);
+}
--- a/node/tests/reload.rs
+++ b/node/tests/reload.rs
@@ -18,7 +18,7 @@
 }
 
 /// SIGHUP must not end the node; the file's discovery prevails over the variable of the start from then on. The old watch
-/// goes at once. Versions of the two lists have nothing to do with each other: with the one held a watch at the new address
+/// goes once the new address has told its list. Versions of the two lists have nothing to do with each other: with the one held a watch at the new address
 /// would bring changes to a list that the node doesn't have.
 #[tokio::test]
 async fn a_new_discovery_is_followed_from_its_whole_list() {
@@ -34,9 +34,10 @@
     node.ready().await;
 
     node.reconfigure("discovery", json!(second.address().to_string())).await;
-    watch.0.closed().await;
+    let mut old = watch;
     let mut watch = take_over(&second, 7, &listed[..1]).await;
     node.holds(7).await;
+    old.0.closed().await;
     watch
         .list(8, false, &[member("new", new.address(), "active"), member("kept", kept.address(), "left")])
         .await;
@@ -51,9 +52,9 @@
     node.signal("HUP").await;
     node.logged("configuration read again").await;
     node.reconfigure("discovery", json!(third.address().to_string())).await;
-    watch.0.closed().await;
     let _watch = take_over(&third, 1, &[]).await;
     node.holds(1).await;
+    watch.0.closed().await;
     assert!(second.untouched().await);
 }
 
@@ -83,7 +84,27 @@
     }
     assert!(other.untouched().await);
     node.replace_config(&good.to_string()).await;
+    let _watch = take_over(&other, 1, &[]).await;
+    watch.0.closed().await;
+}
+
+/// What the old address writes counts as told: it is heard until the new one has told its list.
+#[tokio::test]
+async fn the_old_discovery_is_heard_until_the_new_one_has_told_its_list() {
+    let (server, other) = (Peer::new().await, Peer::new().await);
+    let (mut node, _discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    node.reconfigure("discovery", json!(other.address().to_string())).await;
+    let (mut call, request) = other.request().await;
+    assert_eq!(request.start, WHOLE);
+    watch.list(9, false, &[member("s", server.address(), "leaving")]).await;
+    node.holds(9).await;
+    assert_eq!(node.client().await.ask("safe").await.expect("an answer").status(), 503);
+    let list = json!({"revision": 3, "complete": true, "members": [member("s", server.address(), "active")]});
+    call.answer("200 OK", "", &list.to_string()).await;
     watch.0.closed().await;
+    let (_watch, request) = other.watch().await;
+    assert_eq!(request, "GET /registry/instances?follow=1&since=3 HTTP/1.1");
+    node.holds(3).await;
 }
 
 /// The new address may not answer at first, or say that it can't. It is asked until it has told a whole list.
@@ -115,9 +136,9 @@
     watch.list(9, true, &[]).await;
     node.holds(9).await;
     node.reconfigure("discovery", json!(second.address().to_string())).await;
-    watch.0.closed().await;
     let _watch = take_over(&second, 2, &[member("s", server.address(), "active")]).await;
     node.ready().await;
+    watch.0.closed().await;
 }
 
 /// SIGHUP may come while the node leaves: it still finishes what it has, and exits as if it had not been told.
