--- a/fault-control/src/lib.rs
+++ b/fault-control/src/lib.rs
@@ -60,7 +60,9 @@
 pub struct Faults {
     /// Chance of a failure, in millionths.
     rate: AtomicU64,
-    /// So many calls fail from now on, whatever the chance.
+    /// So many calls succeed before the next ones fail.
+    skipped: AtomicU64,
+    /// So many calls fail from then on, whatever the chance.
     next: AtomicU64,
     /// Error numbers, one a byte; 0 ends them.
     errors: AtomicU64,
@@ -77,7 +79,13 @@
 
     /// Lets the next calls fail with one of these error numbers.
     pub fn fail_next(&self, calls: u64, errors: &[i32]) {
+        self.fail_after(0, calls, errors);
+    }
+
+    /// The same for those that come after so many others.
+    pub fn fail_after(&self, skipped: u64, calls: u64, errors: &[i32]) {
         self.set_errors(errors);
+        self.skipped.store(skipped, Ordering::SeqCst);
         self.next.store(calls, Ordering::SeqCst);
     }
 
@@ -100,7 +108,13 @@
 
     /// The error number that this call fails with, if it does. `random` draws a number.
     pub fn draw(&self, mut random: impl FnMut() -> u64) -> Option<i32> {
-        let counted = self.next.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1));
+        let less = |count: &AtomicU64| {
+            count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1))
+        };
+        if self.next.load(Ordering::SeqCst) > 0 && less(&self.skipped).is_ok() {
+            return None;
+        }
+        let counted = less(&self.next);
         let rate = self.rate.load(Ordering::Relaxed);
         if counted.is_err() && (rate == 0 || random() % MILLION >= rate) {
             return None;
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -132,3 +132,77 @@
     node.holds(2).await;
     assert_eq!(node.client().await.ask("safe").await.expect("an answer").status(), 503);
 }
+
+/// How warm the `stats` line says that a server is.
+async fn warmth(node: &mut Node, server: u32) -> f64 {
+    let mut client = node.client().await;
+    client.send("safe", "1m").await; // A line is written only where something has happened.
+    let line = node.logged("stats ").await;
+    let (_, rest) = line.split_once(&format!(" {server}:weight=")).expect("the server's figures");
+    let (_, rest) = rest.split_once("warm=").expect("its warmth");
+    rest.split(',').next().and_then(|figure| figure.parse().ok()).expect("a number")
+}
+
+/// Unix time in milliseconds, off by so many seconds.
+fn stamp(off: i64) -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+    u64::try_from(now.as_millis() as i64 + off * 1000).expect("a time after 1970")
+}
+
+/// Steps of a machine's wall clock, in seconds.
+const STEPS: [i64; 4] = [3600, -3600, 7, -7];
+
+/// A node whose servers take long to warm up, and warm up from a tenth.
+async fn slow_to_warm(faults: &FaultyCalls, members: &[serde_json::Value]) -> (Node, Watch) {
+    let discovery = Peer::new().await;
+    let mut settings = settings();
+    settings["rules"]["cold_from"] = serde_json::json!(0.1);
+    settings["rules"]["warm_up_ns"] = serde_json::json!(1_000_000_000_000u64);
+    let config = serde_json::json!({
+        "name": "n", "listen": "127.0.0.1:0", "seed": "1f", "discovery": discovery.address().to_string(),
+        "limits": {"sockets": 1024, "memory_mb": MEMORY_MB}, "settings": settings,
+    });
+    let node = Node::told(config, &faults.variables()).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, members).await;
+    node.holds(1).await;
+    (node, watch)
+}
+
+fn stamped(server: &Peer, stamp: u64) -> serde_json::Value {
+    let mut member = member("s", server.address(), "active");
+    member["up_since_ms"] = serde_json::json!(stamp);
+    member
+}
+
+/// A server that has just started is cold, however far the clock of this machine was stepped before the process began.
+#[tokio::test]
+async fn a_young_server_is_cold_whatever_the_clock_was_at_the_start() {
+    let server = Peer::new().await;
+    for step in STEPS {
+        let faults = FaultyCalls::new();
+        faults.control.step_wall_clock(step);
+        let (mut node, _watch) = slow_to_warm(&faults, &[stamped(&server, stamp(0))]).await;
+        let warmth = warmth(&mut node, 0).await;
+        assert!((0.1..0.2).contains(&warmth), "{warmth} at a step of {step} s");
+    }
+}
+
+/// A server that restarts is cold from then on and not for longer, however the clock by which it is stamped was stepped.
+#[tokio::test]
+async fn a_restart_is_seen_whichever_way_its_stamp_goes() {
+    let server = Peer::new().await;
+    for step in STEPS {
+        let faults = FaultyCalls::new();
+        let (mut node, mut watch) = slow_to_warm(
+            &faults,
+            &[stamped(&server, stamp(-20_000)), member("t", server.address(), "active")],
+        )
+        .await;
+        faults.control.step_wall_clock(step);
+        watch.list(2, false, &[stamped(&server, stamp(-20_000 + step))]).await;
+        node.holds(2).await;
+        let warmth = warmth(&mut node, 0).await;
+        assert!((0.1..0.2).contains(&warmth), "{warmth} at a step of {step} s");
+    }
+}
