Tell starts by the monotonic clock, and give operators a yes only for what is synced

Causes: up_since_ms and the hand-over file's 'returned' were compared with a clock anchored to Unix time at the start, so that a stepped wall clock made servers young for an hour or skipped their slow start; a stamp lower than before was no restart. The hand-over file was not synced; a read that failed once counted as seen; a change whose reading failed wrote this process's own old state over the other's; a read error at the start was taken as an empty file. Changes: node/src/starts.rs: a new or changed stamp, either way, is a start at the moment it is heard; servers already there at the process's begin are as young as any clock allows. 'returned' is a marker, dropped once the server is warm. The file is written, synced, renamed, its folder synced, beside the loop; a failure puts the old one back and is a no.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -2,10 +2,11 @@
 
 use crate::body::{hold, Outgoing, Passed, Passing, Sending};
 use crate::calls;
-use crate::discovery::{Phase, ServerList};
+use crate::discovery::{Member, Phase, ServerList};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, HELD_BODY};
 use crate::handover::Word;
 use crate::places::Places;
+use crate::starts::Starts;
 use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
 use finchvale::{KindId, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Time, ZoneId};
@@ -23,7 +24,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::task::AbortHandle;
@@ -181,6 +182,15 @@
     pub conn_idle: Duration,
 }
 
+/// Where a list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The process's configuration, as it was held before the start.
+    Configuration,
+    /// Discovery itself.
+    Discovery,
+}
+
 /// All servers and the connections to them.
 pub struct Backends {
     limits: Limits,
@@ -190,6 +200,8 @@
     by_name: RefCell<FxHashMap<String, Rc<Server>>>,
     by_id: RefCell<FxHashMap<ServerId, Rc<Server>>>,
     next_id: Cell<u32>,
+    /// When servers started.
+    starts: RefCell<Starts>,
     /// What operators have said of backends. It outlives what lists say of them.
     word: RefCell<Word>,
     stats: Rc<Stats>,
@@ -211,6 +223,7 @@
             by_name: RefCell::default(),
             by_id: RefCell::default(),
             next_id: Cell::new(0),
+            starts: RefCell::default(),
             word: RefCell::default(),
             stats: Rc::new(Stats::new()),
         }
@@ -238,7 +251,10 @@
 
     // ---- the list ----
     /// Brings the servers in line with a list and puts it in the balancer's terms.
-    pub fn take_list(&self, list: &ServerList) -> Vec<ServerEntry> {
+    pub fn take_list(&self, now: Time, list: &ServerList, source: Source) -> Vec<ServerEntry> {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut starts = self.starts.borrow_mut();
+        starts.hear(now, list.members.iter().map(Member::stamp));
         let mut by_name = self.by_name.borrow_mut();
         let mut by_id = self.by_id.borrow_mut();
         let word = self.word.borrow();
@@ -261,11 +277,8 @@
                 Phase::Leaving => ServerState::Draining,
                 Phase::Left => ServerState::Gone,
             };
-            // Mapping a start by the clocks' present difference would make every list look like a restart;
-            // the balancer's clock counts in Unix time, so that no mapping is needed.
-            let started =
-                (member.up_since_ms > 0).then(|| Time(member.up_since_ms.saturating_mul(1_000_000)));
-            let (state, started) = told(&word, &member.id, listed, started);
+            let started = starts.started(now, wall, &member.id, member.stamp());
+            let state = state(&word, &member.id, listed);
             let server = match (by_name.get(&member.id), member.host_port) {
                 (Some(server), _) => server.clone(),
                 (None, Some(address)) if state != ServerState::Gone => {
@@ -312,17 +325,23 @@
             }
             entries.push(server.entry());
         }
+        if source == Source::Discovery {
+            starts.followed(by_name.len(), |name| by_name.contains_key(name));
+        }
         entries
     }
 
     // ---- maintenance ----
     /// Goes by what operators have said, from now on and whatever lists say. Returns what changes for the balancer.
-    pub fn heed(&self, word: &Word) -> Vec<ServerEntry> {
+    pub fn heed(&self, now: Time, word: &Word) -> Vec<ServerEntry> {
         *self.word.borrow_mut() = word.clone();
+        let mut starts = self.starts.borrow_mut();
+        starts.hear_returned(now, word.returned.iter());
         let mut changed = Vec::new();
         for server in self.by_id.borrow().values() {
             let (before, since) = (server.state.get(), server.started.get());
-            let (state, started) = told(word, &server.name, server.listed.get(), since);
+            let state = state(word, &server.name, server.listed.get());
+            let started = since.max(starts.returned(&server.name));
             if (state, started) == (before, since) {
                 continue;
             }
@@ -340,6 +359,11 @@
         self.by_name.borrow().contains_key(name)
     }
 
+    /// Whether a server that operators have put back into use is warm again, as far as this process knows.
+    pub fn warmed_up(&self, now: Time, name: &str, warm_up: Duration) -> bool {
+        self.starts.borrow().returned(name).is_some_and(|heard| now - heard >= warm_up)
+    }
+
     /// How many backends are left out.
     pub fn left_out(&self) -> usize {
         self.word.borrow().out.len()
@@ -640,15 +664,12 @@
     TcpStream::connect(address).await
 }
 
-/// A backend's state and start by a list, under what operators have said of it. A list may tell of a restart during a
-/// maintenance late, or not at all.
-fn told(word: &Word, name: &str, listed: ServerState, started: Option<Time>) -> (ServerState, Option<Time>) {
-    let state = match listed {
+/// A server's state by a list, under what operators have said of it.
+fn state(word: &Word, name: &str, listed: ServerState) -> ServerState {
+    match listed {
         ServerState::Ready if word.out.contains(name) => ServerState::Draining,
         listed => listed,
-    };
-    let returned = word.returned.get(name).map(|ms| Time(ms.saturating_mul(1_000_000)));
-    (state, started.max(returned))
+    }
 }
 
 /// Position of a name among those that the settings give; names they don't give share one of their own.
--- a/node/src/console.rs
+++ b/node/src/console.rs
@@ -5,13 +5,13 @@
 use crate::gate::{self, Problem};
 use crate::handover::{Keeper, Word};
 use bytes::BytesMut;
-use finchvale::Time;
 use hyper::StatusCode;
 use socket2::SockRef;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::Shutdown;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -35,28 +35,41 @@
     phase: Rc<watch::Sender<Phase>>,
     keeper: Rc<Keeper>,
     warm_up: Duration,
+    /// The latest look at what another process was told has failed.
+    look_failed: Cell<bool>,
 }
 
 /// What a call is answered with.
 type Reply = (StatusCode, &'static str);
 
 impl Console {
-    /// For this node, which goes at once by what the keeper holds. Of backends called back longer ago than `warm_up` only
-    /// those matter that are listed.
+    /// For this node, which goes at once by what the keeper holds. Backends that were put back into use are warm after
+    /// `warm_up`.
     pub fn new(
         engine: Rc<Engine>,
         phase: Rc<watch::Sender<Phase>>,
         keeper: Rc<Keeper>,
         warm_up: Duration,
     ) -> Rc<Self> {
-        let console = Rc::new(Console { engine, phase, keeper, warm_up });
+        let console = Rc::new(Console { engine, phase, keeper, warm_up, look_failed: Cell::new(false) });
         console.apply();
         console
     }
 
-    /// Takes in what another process of this node was told.
-    pub fn look(&self) {
-        match self.keeper.look() {
+    /// Takes in what another process of this node was told, and forgets which backends were put back into use once they
+    /// are warm: the next process could not tell for how long they have been.
+    pub async fn look(&self) {
+        let warm = |name: &String| self.engine.warmed_up(name, self.warm_up);
+        let settled = self.keeper.word().returned.keys().any(warm);
+        if settled && self.keeper.may_write() {
+            let forget = |word: &mut Word| word.returned.retain(|name, _| !warm(name));
+            if let Err(error) = self.keeper.change(forget).await {
+                self.engine.log(format_args!("{error}"));
+            }
+        }
+        let looked = self.keeper.look();
+        let failed_before = self.look_failed.replace(looked.is_err());
+        match looked {
             Ok(false) => {}
             Ok(true) => {
                 self.apply();
@@ -67,6 +80,7 @@
                     word.out.len()
                 ));
             }
+            Err(_) if failed_before => {} // It is logged once for a row of failures.
             Err(error) => self.engine.log(format_args!("{error}")),
         }
     }
@@ -173,15 +187,13 @@
                 known_backend(self.say(out).await?, "left out")
             }
             ("POST", _, Some((id, "ready"))) => {
-                let (known, now) = (|id: &str| self.engine.knows(id), self.engine.now());
-                let back = |word: &mut Word| {
-                    if !word.out.remove(id) {
-                        return known(id);
+                let known = self.engine.knows(id);
+                let back = |word: &mut Word| match word.out.remove(id) {
+                    true => {
+                        word.mark_returned(id, SystemTime::now());
+                        true
                     }
-                    let recent = |ms: u64| now - Time(ms.saturating_mul(1_000_000)) < self.warm_up;
-                    word.returned.retain(|name, ms| known(name) || recent(*ms));
-                    word.returned.insert(id.to_owned(), now.0 / 1_000_000);
-                    true
+                    false => known,
                 };
                 known_backend(self.say(back).await?, "in use")
             }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -76,6 +76,13 @@
     pub up_since_ms: u64,
 }
 
+impl Member {
+    /// Its latest start in Unix time; zero for long ago.
+    pub fn stamp(&self) -> Duration {
+        Duration::from_millis(self.up_since_ms)
+    }
+}
+
 fn one() -> f64 {
     1.0
 }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -3,7 +3,7 @@
 //! Tasks tell it what happened; it hands the events to the balancer one by one and turns the actions into I/O. It
 //! runs on one thread and never waits, so events need no queue beyond those that actions bring about at once.
 
-use crate::backend::{AnswerBody, Backends, Exchange};
+use crate::backend::{AnswerBody, Backends, Exchange, Source};
 use crate::body::{Outgoing, Passed};
 use crate::discovery::{self, ServerList};
 use crate::gate;
@@ -24,7 +24,7 @@
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::{spawn_local, AbortHandle};
@@ -37,25 +37,26 @@
 /// A choice among probed servers is made within a few milliseconds: what a probe says later serves none.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The balancer's clock: Unix time at the process's start, and monotonic from there.
+/// What the balancer's clock shows when the process starts: servers may have started before it.
+const PROCESS_START: Time = Time(24 * 3600 * 1_000_000_000);
+
+/// The balancer's clock. The wall clock has no part in it: that one may be stepped.
 #[derive(Clone, Copy)]
 struct Clock {
     started: Instant,
-    unix: Duration,
 }
 
 impl Clock {
     fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix }
+        Clock { started: Instant::now() }
     }
 
     fn now(&self) -> Time {
-        Time(0) + self.unix + self.started.elapsed()
+        PROCESS_START + self.started.elapsed()
     }
 
     fn instant(&self, at: Time) -> Instant {
-        self.started + (at - (Time(0) + self.unix))
+        self.started + (at - PROCESS_START)
     }
 }
 
@@ -331,7 +332,7 @@
 
     /// Takes in the list as last known before the start. The balancer is owed one, be it empty.
     pub fn known(&self, list: Option<&ServerList>) {
-        let entries = list.map(|l| self.take_list(l)).unwrap_or_default();
+        let entries = list.map(|l| self.take_list(l, Source::Configuration)).unwrap_or_default();
         self.feed(Event::List { kind: ListKind::Cached, entries });
     }
 
@@ -343,7 +344,7 @@
             self.moved.set(false);
             self.state.borrow_mut().watch_before.take().iter().for_each(AbortHandle::abort);
         }
-        let entries = self.take_list(list);
+        let entries = self.take_list(list, Source::Discovery);
         // Logged where it says anything: discovery may send lists of no change.
         if !entries.is_empty() {
             let count = |state| entries.iter().filter(|e| e.state == state).count();
@@ -362,7 +363,7 @@
 
     /// Goes by what operators have said, from now on.
     pub fn heed(&self, word: &Word) {
-        let entries = self.backends.heed(word);
+        let entries = self.backends.heed(self.clock.now(), word);
         if !entries.is_empty() {
             self.feed(Event::List { kind: ListKind::Changes, entries });
         }
@@ -373,14 +374,14 @@
         self.backends.knows(backend)
     }
 
-    /// The balancer's clock.
-    pub fn now(&self) -> Time {
-        self.clock.now()
+    /// Whether a backend that operators have put back into use is warm again, as far as this process knows.
+    pub fn warmed_up(&self, backend: &str, warm_up: Duration) -> bool {
+        self.backends.warmed_up(self.clock.now(), backend, warm_up)
     }
 
-    fn take_list(&self, list: &ServerList) -> Vec<finchvale::ServerEntry> {
+    fn take_list(&self, list: &ServerList, source: Source) -> Vec<finchvale::ServerEntry> {
         self.revision.set(list.revision);
-        let entries = self.backends.take_list(list);
+        let entries = self.backends.take_list(self.clock.now(), list, source);
         let usable = entries.iter().any(|e| e.state == ServerState::Ready);
         self.servers_listed.set(self.servers_listed.get() || usable);
         entries
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -1,17 +1,18 @@
 //! What outlives a process: the listener that the platform holds for it, and the operators' word, kept in one file for the
 //! process that comes next. While two processes of a node live, both go by that file.
 
+use crate::calls::retry_at_start;
 use serde::{Deserialize, Serialize};
 use socket2::Socket;
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, TryLockError};
-use std::io::{self, Read};
+use std::io::{self, Read, Write as _};
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 /// The form of the file.
 const VERSION: u32 = 1;
@@ -22,6 +23,8 @@
 const PRESENCE: [&str; 2] = ["birchswitch.0", "birchswitch.1"];
 /// Most that is read of the file: far more than any fleet's names take.
 const MOST_KEPT: u64 = 1 << 20;
+/// A change that nobody waits for is not tried again sooner than this after one that failed.
+const WRITE_AGAIN: Duration = Duration::from_secs(1);
 /// The lock is held for an instant at a time. It is asked for again after this ...
 const LOCK_AGAIN: Duration = Duration::from_millis(2);
 /// ... and so often: a caller waits for longer.
@@ -77,10 +80,21 @@
     pub draining: bool,
     /// Backends that are left out, by name.
     pub out: BTreeSet<String>,
-    /// When others were called back, in Unix time by milliseconds: for the rules they have started then.
+    /// Others that were put back into use and may be cold still, with a marker of the call: for the rules they have started
+    /// then. By the marker a process sees a call that it has not heard of; it tells no time, since clocks may be stepped.
     pub returned: BTreeMap<String, u64>,
 }
 
+impl Word {
+    /// A backend is put back into use, by a call that differs from those before.
+    pub fn mark_returned(&mut self, name: &str, wall: SystemTime) {
+        let unix = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let marker = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
+        let before = self.returned.get(name).map_or(0, |before| before.wrapping_add(1));
+        self.returned.insert(name.to_owned(), marker.max(before));
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Kept {
@@ -115,15 +129,26 @@
     node: String,
     word: RefCell<Word>,
     seen: Cell<Option<Stamp>>,
+    /// When a change could not be written last, unless one was since.
+    failed: Cell<Option<Instant>>,
     presence: RefCell<Option<(usize, File)>>,
 }
 
 impl Keeper {
     /// With what the process before has left in `place`; also says what of that is no good.
     pub fn open(place: Option<PathBuf>, node: &str) -> (Self, Option<KeepError>) {
-        let (word, seen, presence) = (RefCell::default(), Cell::new(None), RefCell::default());
-        let keeper = Keeper { place, node: node.to_owned(), word, seen, presence };
-        let problem = keeper.look().err();
+        let (word, presence) = (RefCell::default(), RefCell::default());
+        let (seen, failed) = (Cell::new(None), Cell::new(None));
+        let keeper = Keeper { place, node: node.to_owned(), word, seen, failed, presence };
+        // What was taken on is owed still, so that a failure that may pass is waited for.
+        let looked = retry_at_start(KEPT, || match keeper.look() {
+            Err(KeepError::Io(_, error)) => Err(error),
+            looked => Ok(looked),
+        });
+        let problem = match looked {
+            Ok(looked) => looked.err(),
+            Err(error) => Some(KeepError::Io(KEPT, error)),
+        };
         (keeper, problem)
     }
 
@@ -132,38 +157,74 @@
         self.word.borrow()
     }
 
-    /// Takes in what another process has written since. A file that is no good or gone leaves things as they are.
+    /// Takes in what another process has written since. A file that is no good or gone leaves things as they are; one that
+    /// can't be read for a moment is read at the next look.
     pub fn look(&self) -> Result<bool, KeepError> {
         let Some(place) = &self.place else { return Ok(false) };
-        let Ok(found) = fs::metadata(place.join(KEPT)) else { return Ok(false) };
+        let found = match fs::metadata(place.join(KEPT)) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(false),
+            found => found.map_err(|error| KeepError::Io(KEPT, error))?,
+        };
         let stamp = Some((found.ino(), found.len(), found.modified().ok()));
-        if self.seen.replace(stamp) == stamp {
+        if self.seen.get() == stamp {
             return Ok(false);
         }
-        let word = read(place, &self.node)?;
+        let word = read(place, &self.node);
+        if !matches!(word, Err(KeepError::Io(..))) {
+            self.seen.set(stamp);
+        }
+        let word = word?;
         let changed = word.as_ref().is_some_and(|w| *w != *self.word.borrow());
         word.into_iter().for_each(|w| *self.word.borrow_mut() = w);
         Ok(changed)
     }
 
-    /// Changes it, from what any process has written last, for all of them.
+    /// Changes it, from what any process has written last, for all of them. Once this succeeds it lasts; where it fails
+    /// nothing has changed, not even what this process goes by.
     pub async fn change<T>(&self, change: impl FnOnce(&mut Word) -> T) -> Result<T, KeepError> {
-        let _lock = match &self.place {
-            Some(place) => Some(lock(place).await?),
-            None => None,
+        let Some(place) = &self.place else { return Ok(change(&mut self.word.borrow_mut())) };
+        let _lock = lock(place).await?;
+        let latest = match read(place, &self.node) {
+            Ok(word) => word,
+            // It may hold what another process was told: writing over it would take that back.
+            Err(error @ KeepError::Io(..)) => return Err(error),
+            // What is no good is replaced: it was logged when it was seen first.
+            Err(_) => None,
         };
-        // What can't be read is replaced: it was logged when it was seen first.
-        let latest = self.place.as_ref().and_then(|place| read(place, &self.node).ok().flatten());
         let mut word = latest.unwrap_or_else(|| self.word.borrow().clone());
         let before = word.clone();
         let said = change(&mut word);
-        if let Some(place) = self.place.as_ref().filter(|_| word != before) {
-            write(place, &Kept { version: VERSION, node: self.node.clone(), word: word.clone() })?;
+        if word != before {
+            self.replace(place, &before, &word).await?;
         }
         *self.word.borrow_mut() = word;
         Ok(said)
     }
 
+    /// Whether a change may be written, or a failed one is too recent. For changes that nobody waits for.
+    pub fn may_write(&self) -> bool {
+        self.failed.get().is_none_or(|at| at.elapsed() >= WRITE_AGAIN)
+    }
+
+    /// Replaces the file. Syncing may take long, so that it is done beside the loop.
+    async fn replace(&self, place: &Path, before: &Word, word: &Word) -> Result<(), KeepError> {
+        let text = |word: &Word| {
+            serde_json::to_vec(&Kept { version: VERSION, node: self.node.clone(), word: word.clone() })
+        };
+        let (old, new, place) = (text(before)?, text(word)?, place.to_owned());
+        let replacing = tokio::task::spawn_blocking(move || {
+            let written = write(&place, &new);
+            if written.is_err() {
+                // The file may be the new one already, and then not last: a no has to leave what was there.
+                let _ = write(&place, &old);
+            }
+            written
+        });
+        let written = replacing.await.unwrap_or_else(|panicked| Err(io::Error::other(panicked)));
+        self.failed.set(written.is_err().then(Instant::now));
+        written.map_err(|error| KeepError::Io(KEPT, error))
+    }
+
     /// Whether another process of this node lives. Holds this one's presence, which ends with the process.
     pub fn accompanied(&self) -> bool {
         let Some(place) = &self.place else { return false };
@@ -215,12 +276,15 @@
     }
 }
 
-/// Replaces the file at one blow: nobody reads half of it.
-fn write(place: &Path, kept: &Kept) -> Result<(), KeepError> {
-    let text = serde_json::to_vec(kept)?;
-    let replaced =
-        fs::write(place.join(NEXT), text).and_then(|()| fs::rename(place.join(NEXT), place.join(KEPT)));
-    replaced.map_err(|error| KeepError::Io(KEPT, error))
+/// Replaces the file at one blow, so that nobody reads half of it, and for good: a machine that goes down right after has
+/// the new one.
+fn write(place: &Path, text: &[u8]) -> io::Result<()> {
+    let mut next = File::create(place.join(NEXT))?;
+    next.write_all(text)?;
+    next.sync_all()?;
+    drop(next);
+    fs::rename(place.join(NEXT), place.join(KEPT))?;
+    File::open(place)?.sync_all()
 }
 
 #[cfg(test)]
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod handover;
 mod places;
+mod starts;
 mod stats;
 
 use backend::Backends;
@@ -179,7 +180,7 @@
             let mut every = tokio::time::interval(LOOK);
             loop {
                 every.tick().await;
-                console.look();
+                console.look().await;
                 let now = keeper.accompanied();
                 if std::mem::replace(&mut accompanied, now) != now {
                     let (clients, upstream) = plan(now);
--- a/node/tests/kept.rs
+++ b/node/tests/kept.rs
@@ -92,3 +92,35 @@
     assert_eq!(node.call("POST", "/backends/a/maint").await, 200);
     assert_eq!(place.out(), ["a"]);
 }
+
+/// A file that can't be read for a moment is not taken as empty, and not as read either.
+#[tokio::test]
+async fn a_file_that_cannot_be_read_for_a_moment_is_still_owed() {
+    let (a, b) = (Peer::new().await, Peer::new().await);
+    let place = Place::new("owed", &[("a", &a), ("b", &b)]).await;
+    let faults = FaultyCalls::new();
+    let (node, watch) = place.start(&faults).await;
+    assert_eq!(node.call("POST", "/backends/a/maint").await, 200);
+    drop((node, watch));
+    // The first to be read is the configuration.
+    faults.control.faults(Call::OpenRead).fail_after(1, 3, &[libc::EIO]);
+    let (mut node, _watch) = place.start(&faults).await;
+    assert_eq!(faults.control.faults(Call::OpenRead).left(), 0);
+    let mut client = node.client().await;
+    for _ in 0..8 {
+        client.send("safe", "20000m").await;
+        let (mut wire, _) = b.request().await;
+        wire.answer("200 OK", "Connection: close\r\n", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+    }
+    // Another process's change, of which the reading fails: it is not lost, and not written over.
+    let another = r#"{"version":1,"node":"n","word":{"draining":false,"out":["a","b"],"returned":{}}}"#;
+    faults.control.faults(Call::OpenRead).fail_next(5, &[libc::EIO]);
+    std::fs::write(place.folder.join("another"), another).expect("a file");
+    std::fs::rename(place.folder.join("another"), place.folder.join(KEPT)).expect("a file");
+    while faults.control.faults(Call::OpenRead).left() > 0 {
+        assert_eq!(node.call("POST", "/healthcheck/fail").await, 500);
+    }
+    node.logged("told beside draining=false left_out=2").await;
+    assert_eq!(place.out(), ["a", "b"]);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -399,7 +399,7 @@
                 Some(&i) => {
                     // Of a restarted process nothing is known but what is still out; of others all stays.
                     let s = &mut self.servers[i];
-                    if e.started > s.started {
+                    if e.started.is_some() && e.started != s.started {
                         *s = Server { out: std::mem::take(&mut s.out), ..fresh };
                     } else {
                         (s.state, s.weight) = (e.state, fresh.weight);
