--- a/fault-shim/src/lib.rs
+++ b/fault-shim/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod next;
 
-use fault_control::{Call, Control, VARIABLE};
+use fault_control::{Call, Control, Pauses, VARIABLE};
 use libc::{c_char, c_int, c_uint, c_void, iovec, mode_t, pollfd, sockaddr, socklen_t, ssize_t, timespec};
 use std::ffi::CString;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -79,6 +79,24 @@
     }
 }
 
+/// Pauses if the control file says so.
+fn draw_pause(control: &Control, pauses: &Pauses) {
+    static ENDED: AtomicU64 = AtomicU64::new(0);
+    let since = || Duration::from_nanos(monotonic().saturating_sub(ENDED.load(Ordering::Relaxed)));
+    if let Some(time) = pauses.draw(|| random(control), since) {
+        pause(time);
+        ENDED.store(monotonic(), Ordering::Relaxed);
+    }
+}
+
+/// The monotonic clock, in nanoseconds.
+fn monotonic() -> u64 {
+    let mut time = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: The pointer is to a good structure of this function's.
+    unsafe { next::clock_gettime(libc::CLOCK_MONOTONIC, &mut time) };
+    (time.tv_sec * NANOSECONDS + time.tv_nsec) as u64
+}
+
 fn pause(time: Duration) {
     let mut left = timespec { tv_sec: time.as_secs() as i64, tv_nsec: i64::from(time.subsec_nanos()) };
     // SAFETY: Both pointers are to one good structure of this function's.
@@ -147,7 +165,7 @@
     }
     let ready = next::epoll_wait(fd, events, most, timeout);
     if let Some(control) = control() {
-        control.after_wait.draw(|| random(control)).into_iter().for_each(pause);
+        draw_pause(control, &control.after_wait);
     }
     ready
 }
@@ -159,7 +177,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn shutdown(fd: c_int, how: c_int) -> c_int {
     if let Some(control) = control().filter(|_| how == libc::SHUT_WR) {
-        control.before_shutdown.draw(|| random(control)).into_iter().for_each(pause);
+        draw_pause(control, &control.before_shutdown);
     }
     next::shutdown(fd, how)
 }
