Ask one module for every rule right before the act, and count what it held back

node/src/rules.rs answers whether an attempt may begin (server, client, time left, window), may be repeated (class, group, second copies), whether a connection may be closed and the process may end. Found on the way: a request that waits behind another on its connection had its time counted from the other's end, so that a server was told 20 s with 19 left (node/tests/faults.rs, seen to fail; now from its last byte read).

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -6,6 +6,7 @@
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, HELD_BODY};
 use crate::handover::Word;
 use crate::places::Places;
+use crate::rules::{self, AttemptFacts, Place, Rule};
 use crate::starts::Starts;
 use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
@@ -63,8 +64,14 @@
 }
 
 impl Server {
+    /// Where it stands.
+    pub fn place(&self) -> Place {
+        let (zone, _, cell) = self.place.get();
+        Place { zone: zone.0, cell }
+    }
+
     /// Whether anything new may go there.
-    fn takes_new(&self) -> bool {
+    pub fn takes_new(&self) -> bool {
         self.state.get() == ServerState::Ready
     }
 
@@ -100,6 +107,7 @@
     socket: Weak<TcpStream>,
     /// More than the answer came with it.
     more: Rc<Cell<bool>>,
+    permit: Rc<WritePermit>,
     generation: u64,
 }
 
@@ -116,9 +124,20 @@
     }
 }
 
+/// Asked right before the first byte of a request is written.
+type WriteCheck = Box<dyn Fn() -> Result<(), Rule>>;
+
+/// Whether the request that is to be written next may be.
+#[derive(Default)]
+struct WritePermit {
+    check: RefCell<Option<WriteCheck>>,
+    refused: Cell<bool>,
+}
+
 /// Reads the heads of answers. What is no good ends the connection, and with it the attempt.
 struct Answers {
     more: Rc<Cell<bool>>,
+    permit: Rc<WritePermit>,
 }
 
 impl Guard for Answers {
@@ -135,6 +154,16 @@
     fn more(&self) {
         self.more.set(true);
     }
+
+    fn may_write(&self) -> std::io::Result<()> {
+        match self.permit.check.take().map_or(Ok(()), |check| check()) {
+            Ok(()) => Ok(()),
+            Err(rule) => {
+                self.permit.refused.set(true);
+                Err(std::io::Error::other(format!("held back: {rule:?}")))
+            }
+        }
+    }
 }
 
 /// The body of an answer.
@@ -172,6 +201,26 @@
     }
 }
 
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Progress {
+    /// Nothing of it was written.
+    #[default]
+    Waiting,
+    /// It may have reached its server.
+    Written,
+    /// Nothing of it was written, and nothing may be: it counts as never sent.
+    Revoked,
+}
+
+/// On what an attempt may begin.
+pub struct AttemptTerms {
+    /// Whether its client waits for the answer still, at any moment.
+    pub client_waits: Box<dyn Fn() -> bool>,
+    /// Until when it may be repeated, if it is a repeat that is so limited.
+    pub repeat_by: Option<Instant>,
+}
+
 /// The limits on connections to servers.
 pub struct Limits {
     /// Most connections to all servers together.
@@ -390,16 +439,18 @@
         // Word may have come meanwhile that the server moved or restarted: what answers at the address that it had
         // is another's, or gone.
         if generation != server.generation.get() {
+            self.stats.rules.withheld(Rule::Drain);
             return Err(Outcome::NotSent);
         }
         let _ = stream.set_nodelay(true);
         let (stream, more) = (Rc::new(stream), Rc::new(Cell::new(false)));
+        let write_permit: Rc<WritePermit> = Rc::default();
         let socket = Rc::downgrade(&stream);
-        let gate = Gate::new(stream, Answers { more: more.clone() });
+        let gate = Gate::new(stream, Answers { more: more.clone(), permit: write_permit.clone() });
         let made = http1::Builder::new().max_buf_size(MOST_BUFFERED).handshake(TokioIo::new(gate)).await;
         let (sender, connection) = made.map_err(|_| Outcome::Unreachable)?;
         let driver = tokio::task::spawn_local(drive(connection, permit)).abort_handle();
-        Ok(Connection { sender, driver, socket, more, generation })
+        Ok(Connection { sender, driver, socket, more, permit: write_permit, generation })
     }
 
     fn take_idle(&self, server: &Server) -> Option<Connection> {
@@ -464,43 +515,57 @@
     }
 
     // ---- attempts and probes ----
-    /// Sends one request, before `send_by` if that is given and if it is `wanted` still, and reads its answer, until
-    /// `until` at the latest. Never sends it again. `sent` is set before the first byte goes.
+    /// Sends one request, if the rules allow it right before its first byte goes, and reads its answer, until `until` at
+    /// the latest. Never sends it again. `progress` tells whether its first byte has gone.
     pub async fn attempt(
         &self,
-        server: &Server,
+        server: &Rc<Server>,
         request: Request<Outgoing>,
-        send_by: Option<Instant>,
         until: Instant,
-        wanted: impl Fn() -> bool,
-        sent: &Cell<bool>,
+        terms: AttemptTerms,
+        progress: Rc<Cell<Progress>>,
     ) -> Exchange {
         let (head, body) = request.into_parts();
         // What can't be sent again isn't.
         let Some(sending) = body.sending() else { return Exchange::failed(Outcome::NotSent) };
         let limit = until.saturating_duration_since(Instant::now());
         let mut request = Request::from_parts(head, sending);
+        let time_runs = body.upload().is_none();
         let exchange = async {
             let connection = match self.checkout(server).await {
                 Ok(connection) => connection,
                 Err(outcome) => return Exchange::failed(outcome),
             };
-            // Connecting took time, in which word may have come that the server drains: it gets nothing new. Or the
-            // time may have passed for which duplicates are dropped.
-            if !server.takes_new() || send_by.is_some_and(|by| Instant::now() >= by) || !wanted() {
+            let reckoned = Instant::now();
+            let generation = connection.generation;
+            let (to, stats, asked) = (server.clone(), self.stats.clone(), progress.clone());
+            let check = move |told: Option<Instant>| {
+                let facts = AttemptFacts {
+                    server_takes_new: to.takes_new() && to.generation.get() == generation,
+                    client_waits: asked.get() != Progress::Revoked && (terms.client_waits)(),
+                    until: time_runs.then_some(until),
+                    told: told.filter(|_| time_runs),
+                    repeat_by: terms.repeat_by,
+                };
+                rules::may_begin(Instant::now(), &facts).inspect_err(|rule| stats.rules.withheld(*rule))
+            };
+            // Connecting took time, in which anything may have changed; and some more passes before the writing.
+            if check(None).is_err() {
                 self.give_back(server, connection).await;
                 return Exchange::failed(Outcome::NotSent);
             }
-            let left = until.saturating_duration_since(Instant::now());
+            let left = until.saturating_duration_since(reckoned);
             let left = HeaderValue::from_str(&format!("{}u", left.as_micros()));
             request.headers_mut().insert("x-timeout", left.expect("digits are valid in a header"));
-            sent.set(true);
+            let begun = progress.clone();
+            let at_the_write = move || check(Some(reckoned)).inspect(|()| begun.set(Progress::Written));
+            *connection.permit.check.borrow_mut() = Some(Box::new(at_the_write));
             self.exchange(connection, request, true).await
         };
         let Some(upload) = body.upload() else {
             return match timeout_at(until, exchange).await {
                 Ok(exchange) => exchange,
-                Err(_) if sent.get() => Exchange::failed(Outcome::TimedOut),
+                Err(_) if progress.get() == Progress::Written => Exchange::failed(Outcome::TimedOut),
                 // It was still connecting: nothing of it can have run.
                 Err(_) => Exchange::failed(Outcome::Unreachable),
             };
@@ -549,6 +614,8 @@
     ) -> Exchange {
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
+            // Nothing of it was written: that was not allowed any more.
+            Err(_) if connection.permit.refused.get() => return Exchange::failed(Outcome::NotSent),
             // Handed back unsent. Anything else may have reached the server, and may have run there.
             Err(error) if error.message().is_some() => return Exchange::failed(Outcome::Unreachable),
             Err(error) => return Exchange::broken(error.error()),
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -3,15 +3,16 @@
 //! Tasks tell it what happened; it hands the events to the balancer one by one and turns the actions into I/O. It
 //! runs on one thread and never waits, so events need no queue beyond those that actions bring about at once.
 
-use crate::backend::{AnswerBody, Backends, Exchange, Source};
+use crate::backend::{AnswerBody, AttemptTerms, Backends, Exchange, Progress, Server, Source};
 use crate::body::{Outgoing, Passed};
 use crate::discovery::{self, ServerList};
 use crate::gate;
 use crate::handover::Word;
+use crate::rules::{self, Earlier, Place, Rule};
 use crate::stats::Stats;
 use finchvale::{
-    Action, Arrival, Balancer, Class, ClassId, Effect, Ended, Event, ListKind, LoadReport, Outcome, Probed,
-    Reason, RequestId, ServerId, ServerState, Settings, SettingsError, TenantId, Time,
+    Action, Arrival, Balancer, ClassId, Effect, Ended, Event, ListKind, LoadReport, Outcome, Probed, Reason,
+    RequestId, ServerId, ServerState, Settings, SettingsError, TenantId, Time,
 };
 use hyper::{Request, Response};
 use rand_core::{RngCore, SeedableRng};
@@ -101,8 +102,6 @@
     taken: Instant,
     request: Request<Outgoing>,
     due: Instant,
-    /// For how long a request of a keyed class may be repeated.
-    window: Option<Duration>,
     client: Weak<TcpStream>,
     /// Taken by the one final answer, or by the client's leaving.
     reply: Option<oneshot::Sender<Answer>>,
@@ -123,6 +122,7 @@
 
 struct Attempt {
     server: ServerId,
+    place: Place,
     began: Instant,
     /// False once it is known that it did not run and will not.
     may_have_run: bool,
@@ -130,8 +130,8 @@
     end: Option<(Outcome, Duration, Option<LoadReport>)>,
     /// None once it has ended.
     task: Option<AbortHandle>,
-    /// Set once it may have reached the server.
-    written: Rc<Cell<bool>>,
+    /// Whether it may have reached the server.
+    progress: Rc<Cell<Progress>>,
 }
 
 struct State {
@@ -168,8 +168,10 @@
     asked: bool,
     /// The list held is not from where the list is now: changes to it are no use.
     moved: Cell<bool>,
-    /// By class: for how long its requests may be repeated, if they carry keys.
-    windows: Vec<Option<Duration>>,
+    /// Two attempts of one request may be out together.
+    second_copies: bool,
+    /// By class: how far its requests may be repeated.
+    effects: Vec<Effect>,
     /// By class: within which time an answer earns its worth, the stretch for heavy requests left aside.
     aims: Vec<Duration>,
     state: RefCell<State>,
@@ -190,12 +192,9 @@
         discovery: SocketAddr,
     ) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::new();
-        let window = |c: &Class| match c.effect {
-            Effect::Keyed { window, .. } => Some(window),
-            Effect::Safe | Effect::Unsafe => None,
-        };
         let asked = settings.list_on_request;
-        let windows = settings.classes.iter().map(window).collect();
+        let second_copies = settings.second_copies;
+        let effects = settings.classes.iter().map(|c| c.effect).collect();
         let aims = settings.classes.iter().map(|c| c.aim).collect();
         let state = State {
             balancer: Balancer::new(settings, seed, clock.now())?,
@@ -218,7 +217,8 @@
             discovery: Cell::new(discovery),
             asked,
             moved: Cell::new(false),
-            windows,
+            second_copies,
+            effects,
             aims,
             state: RefCell::new(state),
             revision: Cell::new(0),
@@ -400,11 +400,9 @@
         self.stats.count(|c| c.requests += 1);
         self.stats.count_class(incoming.class, |c| c.requests += 1);
         let Incoming { class, tenant, work, due, remaining, id: name, since, request, client } = incoming;
-        let window = self.windows.get(usize::from(class.0)).copied().flatten();
         let coming = request.body().upload().is_some();
         let (taken, reply, attempts) = (Instant::now(), Some(reply), Vec::new());
-        let entry =
-            Entry { id: name, class, tenant, since, taken, request, due, window, client, reply, attempts };
+        let entry = Entry { id: name, class, tenant, since, taken, request, due, client, reply, attempts };
         state.ledger.insert(id, entry);
         drop(state);
         self.feed(Event::Arrival(Arrival { request: id, class, tenant, remaining, work, coming }));
@@ -433,7 +431,9 @@
     fn withhold(&self, state: &mut State, request: RequestId) {
         let Some(entry) = state.ledger.get_mut(&request) else { return };
         for (attempt, a) in (0..).zip(&mut entry.attempts) {
-            let Some(task) = a.task.take_if(|_| !a.written.get()) else { continue };
+            let Some(task) = a.task.take_if(|_| a.progress.get() == Progress::Waiting) else { continue };
+            // The task ends in a later turn: nothing of it may be written until then.
+            a.progress.set(Progress::Revoked);
             task.abort();
             let (outcome, latency) = (Outcome::NotSent, a.began.elapsed());
             (a.may_have_run, a.end) = (false, Some((outcome, latency, None)));
@@ -689,6 +689,7 @@
             );
         }
         drop(state);
+        let _ = self.stats.rules.write_to(&mut line);
         self.log(format_args!("{line}"));
     }
 
@@ -697,28 +698,30 @@
         let Some(entry) = state.ledger.get_mut(&request) else { return };
         let attempt = entry.attempts.len() as u32;
         let backend = self.backends.get(server).filter(|_| entry.reply.is_some());
+        let backend = backend.filter(|backend| self.may_send(entry, backend));
         let Some(backend) = backend else {
             let (outcome, latency, closed) = (Outcome::NotSent, Duration::ZERO, entry.reply.is_none());
             let end = Some((outcome, latency, None));
             self.stats.count(|c| c.ended(outcome));
-            let (task, written) = (None, Rc::default());
-            entry.attempts.push(Attempt { server, began, may_have_run: false, end, task, written });
+            let (task, progress, place) = (None, Rc::default(), Place::default());
+            let may_have_run = false;
+            entry.attempts.push(Attempt { server, place, began, may_have_run, end, task, progress });
             let report = None;
             let ended = Ended { request, attempt, server, outcome, latency, closed, report };
             return state.events.push_back(Event::Ended(ended));
         };
         let until = limit.map_or(entry.due, |limit| entry.due.min(began + limit));
-        // The balancer looks at the window when it decides; connecting takes time after that.
+        // The balancer looks at the window when it decides; connecting takes time after that, in which the client may leave.
         let risky = entry.attempts.iter().find(|a| a.may_have_run);
-        let send_by = risky.and_then(|a| Some(a.began + entry.window?));
+        let repeat_by = risky.and_then(|a| Some(a.began + self.effect(entry.class).window()?));
+        let client = entry.client.clone();
+        let terms = AttemptTerms { client_waits: Box::new(move || !left(&client)), repeat_by };
         let outgoing = entry.request.clone();
         let (me, backends) = (self.me.clone(), self.backends.clone());
-        let written: Rc<Cell<bool>> = Rc::default();
-        let (sent, client) = (written.clone(), entry.client.clone());
+        let progress: Rc<Cell<Progress>> = Rc::default();
+        let (reached, place) = (progress.clone(), backend.place());
         let task = spawn_local(async move {
-            // Connecting takes time, in which the client may leave.
-            let wanted = || !left(&client);
-            let mut exchange = backends.attempt(&backend, outgoing, send_by, until, wanted, &sent).await;
+            let mut exchange = backends.attempt(&backend, outgoing, until, terms, reached).await;
             if let Some(engine) = me.upgrade() {
                 engine.attempt_passing(request, attempt, &mut exchange).await;
             }
@@ -731,7 +734,39 @@
         self.stats.count(|c| c.attempts += 1);
         state.sent.entry(server).or_default()[0] += 1;
         let task = Some(task.abort_handle());
-        entry.attempts.push(Attempt { server, began, may_have_run: true, end: None, task, written });
+        let (may_have_run, end) = (true, None);
+        entry.attempts.push(Attempt { server, place, began, may_have_run, end, task, progress });
+    }
+
+    /// Whether the rules allow one more attempt of a request at a server. The balancer keeps them by itself: that it asks
+    /// for what they forbid is a fault of its own, except where the list has changed since.
+    fn may_send(&self, entry: &Entry, backend: &Server) -> bool {
+        if !backend.takes_new() {
+            self.stats.rules.withheld(Rule::Drain);
+            return false;
+        }
+        let earlier: Vec<Earlier> = entry
+            .attempts
+            .iter()
+            .map(|a| Earlier { place: a.place, out: a.task.is_some(), may_have_run: a.may_have_run })
+            .collect();
+        let effect = self.effect(entry.class);
+        let allowed = rules::may_repeat(effect, self.second_copies, backend.place(), &earlier);
+        if let Err(rule) = allowed {
+            self.stats.rules.violated(rule);
+            debug_assert!(false, "{rule:?}: {}", printable(&entry.id));
+        }
+        allowed.is_ok()
+    }
+
+    /// How far a class of requests may be repeated.
+    fn effect(&self, class: ClassId) -> Effect {
+        self.effects.get(usize::from(class.0)).copied().unwrap_or(Effect::Unsafe)
+    }
+
+    /// How many requests have no final answer yet.
+    pub fn open_requests(&self) -> usize {
+        self.state.borrow().ledger.values().filter(|entry| entry.reply.is_some()).count()
     }
 
     fn cancel(state: &mut State, request: RequestId, attempt: u32) {
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -6,6 +6,7 @@
 use crate::engine::{Answer, Engine, Incoming};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
 use crate::places::Places;
+use crate::rules::{self, Rule};
 use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
 use finchvale::{ClassId, Effect, TenantId};
@@ -129,6 +130,8 @@
     unread: Cell<bool>,
     /// A request of it went to hyper, and its answer has not been taken yet.
     taken: Cell<bool>,
+    /// When the last byte of that request was read, if it was when it went there. Requests in a row wait for each other.
+    whole_at: Cell<Option<Instant>>,
     /// Where it stood when it was to close.
     left: Cell<Stage>,
     wake: Notify,
@@ -184,7 +187,13 @@
             Stage::Idle => IDLE_LEAST,
             Stage::Busy | Stage::Passing | Stage::Leaving | Stage::Gone => return false,
         };
-        self.age() >= least && gate::quiet(&self.socket)
+        self.age() >= least && self.may_close().is_ok()
+    }
+
+    /// Whether the rules let it be closed at this moment for having nothing to say.
+    fn may_close(&self) -> Result<(), Rule> {
+        let in_hand = matches!(self.stage.get(), Stage::Busy | Stage::Passing);
+        rules::may_close(in_hand, !gate::quiet(&self.socket))
     }
 
     fn leave(&self) {
@@ -195,7 +204,7 @@
 
     /// Whether bytes have come since it was to close for having nothing to say.
     fn crossed(&self) -> bool {
-        matches!(self.left.get(), Stage::New | Stage::Head | Stage::Idle) && !gate::quiet(&self.socket)
+        matches!(self.left.get(), Stage::New | Stage::Head | Stage::Idle) && self.may_close().is_err()
     }
 
     /// Ends what has taken too long.
@@ -209,7 +218,7 @@
         };
         match stage {
             // What comes with a connection needs a moment. A request that has begun is answered, and told to close.
-            Stage::New if phase == Phase::Closing && age >= LAST_CHANCE && gate::quiet(&self.socket) => {
+            Stage::New if phase == Phase::Closing && age >= LAST_CHANCE && self.may_close().is_ok() => {
                 self.leave();
             }
             // Never one on which a request has come that was not read yet.
@@ -223,7 +232,7 @@
                 self.wake.notify_one();
             }
             Stage::Passing if age >= STALL => self.leave(),
-            Stage::Idle if age >= idle && gate::quiet(&self.socket) => self.leave(),
+            Stage::Idle if age >= idle && self.may_close().is_ok() => self.leave(),
             Stage::Head if age >= FIRST => {
                 self.stage.set(Stage::Late);
                 self.wake.notify_one();
@@ -259,8 +268,9 @@
         Ok(())
     }
 
-    fn passed(&self) {
+    fn passed(&self, whole_at: Option<Instant>) {
         self.taken.set(true);
+        self.whole_at.set(whole_at);
     }
 
     fn busy(&self) -> bool {
@@ -387,6 +397,7 @@
             malformed: Cell::new(false),
             unread: Cell::new(false),
             taken: Cell::new(false),
+            whole_at: Cell::new(None),
             left: Cell::new(Stage::New),
             wake: Notify::new(),
         });
@@ -454,6 +465,7 @@
             }
             if client.stage.get() == Stage::Leaving {
                 if client.crossed() {
+                    self.engine.stats().rules.withheld(Rule::Close);
                     client.stage.set(client.left.get());
                     continue;
                 }
@@ -506,7 +518,8 @@
             }
         };
         // The time counts from the last byte, which is here or still to come.
-        let remaining = order.wait - margin;
+        let whole_at = client.whole_at.take().unwrap_or_else(Instant::now);
+        let remaining = (order.wait - margin).saturating_sub(whole_at.elapsed());
         let (body, due) = match whole {
             true => (Outgoing::Whole(held.freeze()), Instant::now() + remaining),
             false => {
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -17,6 +17,7 @@
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Most that a body may hold, either way.
 pub const MOST_BODY: u64 = 32 << 20;
@@ -70,10 +71,16 @@
     fn begun(&self) -> Result<(), Problem> {
         Ok(())
     }
+    /// A message is to be written, of which nothing was so far. An error ends the connection before its first byte.
+    fn may_write(&self) -> io::Result<()> {
+        Ok(())
+    }
     /// More than the message came with it. Hyper is told only when it reads on, which may be too late.
     fn more(&self) {}
-    /// A head was found good, and goes to hyper.
-    fn passed(&self) {}
+    /// A head was found good, and goes to hyper. If its message is whole, its last byte was read at `whole_at`.
+    fn passed(&self, whole_at: Option<Instant>) {
+        let _ = whole_at;
+    }
     /// What was let through is not answered yet: nothing more goes to hyper, which would not see the connection's end
     /// behind it.
     fn busy(&self) -> bool {
@@ -89,6 +96,8 @@
     /// So much of what is held may go to hyper.
     pass: usize,
     next: Next,
+    /// When bytes were read last.
+    read_at: Instant,
     /// Bytes of interim heads since something was written.
     interim: usize,
 }
@@ -96,7 +105,8 @@
 impl<G: Guard> Gate<G> {
     /// Around a socket on which nothing was read yet.
     pub fn new(socket: Rc<TcpStream>, guard: G) -> Self {
-        Gate { socket, guard, held: BytesMut::new(), pass: 0, next: G::BETWEEN, interim: 0 }
+        let (held, read_at) = (BytesMut::new(), Instant::now());
+        Gate { socket, guard, held, pass: 0, next: G::BETWEEN, read_at, interim: 0 }
     }
 
     /// Reads more into what is held.
@@ -110,7 +120,10 @@
             });
             match self.socket.try_read_buf(&mut self.held) {
                 Err(error) if passes(&error) => {}
-                read => return Poll::Ready(read),
+                read => {
+                    self.read_at = Instant::now();
+                    return Poll::Ready(read);
+                }
             }
         }
     }
@@ -126,7 +139,11 @@
             Some(head) if self.interim + head.length <= MOST_HEAD => {
                 (self.pass, self.next) = (head.length, head.next);
                 self.interim = if head.next == Next::Head { self.interim + head.length } else { 0 };
-                self.guard.passed();
+                let whole = match head.next {
+                    Next::Body(body) => (self.held.len() - head.length) as u64 >= body,
+                    _ => false,
+                };
+                self.guard.passed(whole.then_some(self.read_at));
                 Ok(true)
             }
             None if self.held.len() < MOST_HEAD => Ok(false),
@@ -211,6 +228,9 @@
         let me = self.get_mut();
         loop {
             ready!(me.socket.poll_write_ready(cx))?;
+            if me.next == Next::Nothing && me.held.is_empty() {
+                me.guard.may_write()?;
+            }
             match write(&me.socket) {
                 Err(error) if passes(&error) => {}
                 written => {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod handover;
 mod places;
+mod rules;
 mod starts;
 mod stats;
 
@@ -222,6 +223,10 @@
             tokio::time::sleep(UNREADY).await;
         }
     }
+    let open = engine.open_requests();
+    if rules::may_end(open).is_err() {
+        engine.log(format_args!("violations_End={open}"));
+    }
     engine.log(format_args!("left"));
     Ok(())
 }
--- a/node/src/stats.rs
+++ b/node/src/stats.rs
@@ -1,5 +1,6 @@
 //! What the node counts for its log, and how much it says of single requests.
 
+use crate::rules::RuleCounts;
 use finchvale::{ClassId, Outcome, Reason};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -90,6 +91,8 @@
     single: RefCell<FxHashMap<Reason, u32>>,
     turned_down: RefCell<FxHashMap<&'static str, u32>>,
     broken: Cell<u32>,
+    /// What rules have held back, and what was asked for against them.
+    pub rules: RuleCounts,
 }
 
 impl Stats {
@@ -102,6 +105,7 @@
             single: RefCell::default(),
             turned_down: RefCell::default(),
             broken: Cell::new(0),
+            rules: RuleCounts::default(),
         }
     }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -568,17 +568,23 @@
 
     /// Waits until the node says that it is ready.
     pub async fn ready(&self) {
-        while self.get("/health/ready").await.status() != 200 {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
+        let ready = async {
+            while self.get("/health/ready").await.status() != 200 {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        within("a ready node", ready).await;
     }
 
     /// Waits until the node has taken the list of this revision.
     pub async fn holds(&self, revision: u64) {
         let told = format!("list {revision}\n");
-        while self.get("/health/live").await.body != told.as_bytes() {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
+        let holds = async {
+            while self.get("/health/live").await.body != told.as_bytes() {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        within("a node that holds the list", holds).await;
     }
 
     /// Replaces its configuration file by one in which a value differs, and tells it so.
@@ -607,14 +613,17 @@
     /// The first line of its log, from here on, that holds this.
     pub async fn logged(&mut self, text: &str) -> String {
         let log = self.log.as_mut().expect("its log");
-        loop {
-            let mut line = String::new();
-            let read = within("a line of the log", log.read_line(&mut line)).await.expect("its log");
-            assert!(read > 0, "the log ended before {text:?}");
-            if line.contains(text) {
-                return line.trim_end().to_owned();
+        let logged = async {
+            loop {
+                let mut line = String::new();
+                let read = log.read_line(&mut line).await.expect("its log");
+                assert!(read > 0, "the log ended before {text:?}");
+                if line.contains(text) {
+                    return line.trim_end().to_owned();
+                }
             }
-        }
+        };
+        within("a line of the log", logged).await
     }
 
     /// Leaves nobody to read its log.
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -206,3 +206,45 @@
         assert!((0.1..0.2).contains(&warmth), "{warmth} at a step of {step} s");
     }
 }
+
+/// Of requests in a row on one connection each has its time from its own last byte, also the one that waits for another.
+#[tokio::test]
+async fn the_time_of_a_request_runs_while_it_waits_for_the_one_before() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    let request = |id: &str| {
+        format!("GET /safe HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id}\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n\r\n")
+    };
+    client.write(&(request("row-1") + &request("row-2"))).await;
+    let (mut wire, _) = server.request().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    wire.answer("200 OK", "", "").await;
+    let second = wire.read().await.expect("the second request");
+    let told = second.header("x-timeout").and_then(|told| told.strip_suffix('u')?.parse().ok());
+    assert!(told.is_some_and(|told: u64| told <= 19_150_000), "{told:?} us told, 19 s are left");
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
+
+/// What a rule has held back is counted by rule.
+#[tokio::test]
+async fn what_a_rule_holds_back_is_counted() {
+    let (listener, address, filling) = full_listener().await;
+    let discovery = Peer::new().await;
+    let mut node = Node::with(&discovery, settings(), 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("s", address, "active")]).await;
+    node.ready().await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    node.get("/health/live").await; // The request has been read, and its connection is under way.
+    watch.list(2, false, &[member("s", address, "leaving")]).await;
+    node.holds(2).await;
+    for _ in 0..filling.len() {
+        within("a connection", listener.accept()).await.expect("a connection");
+    }
+    assert_eq!(client.read().await.expect("an answer").status(), 503);
+    let line = node.logged(" withheld_").await;
+    assert!(line.contains("stats ") && line.contains(" withheld_Drain="), "{line}");
+}
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -110,14 +110,15 @@
         self.random.borrow_mut().random_range(0.0..1.0)
     }
 
-    async fn connection(&self) -> Option<Connection> {
+    fn idle_connection(&self) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(connection) = idle.pop() {
-            if Connection::is_open(&connection.socket) {
-                return Some(connection);
-            }
+        std::iter::from_fn(|| idle.pop()).find(|connection| Connection::is_open(&connection.socket))
+    }
+
+    async fn connection(&self) -> Option<Connection> {
+        if let Some(connection) = self.idle_connection() {
+            return Some(connection);
         }
-        drop(idle);
         let connecting = timeout(Duration::from_secs(1), TcpStream::connect(self.node.address)).await;
         connecting.ok()?.ok().map(Connection::new)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -83,6 +83,16 @@
     Unsafe,
 }
 
+impl Effect {
+    /// For how long after the first send that may have run a request may be repeated, where that is limited.
+    pub fn window(self) -> Option<Duration> {
+        match self {
+            Effect::Keyed { window, .. } => Some(window),
+            Effect::Safe | Effect::Unsafe => None,
+        }
+    }
+}
+
 /// One class of requests.
 #[derive(Clone, Debug)]
 pub struct Class {
