--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -122,6 +122,13 @@
     BadLine(String),
 }
 
+impl WatchError {
+    /// Whether nobody is there to answer calls.
+    fn is_refusal(&self) -> bool {
+        matches!(self, WatchError::Connect(_) | WatchError::Http(_))
+    }
+}
+
 /// Takes a stream of JSON objects apart, however it is cut and indented.
 #[derive(Default)]
 struct Documents {
@@ -236,7 +243,9 @@
             pause.saturating_sub(began.elapsed()).max(PAUSE[0]).mul_f64(1.0 - JITTER * engine.random());
         engine.log(format_args!("watch: {error}; again in {} ms", wait.as_millis()));
         tokio::time::sleep(wait).await;
-        pause = (pause * 2).min(PAUSE[1]);
+        // Of a discovery that is down all counts as told at its return, and being refused costs it nothing. One that
+        // answers but can't serve is crowded.
+        pause = if error.is_refusal() { PAUSE[0] } else { (pause * 2).min(PAUSE[1]) };
     }
 }
 
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -71,7 +71,8 @@
     fn begun(&self) -> Result<(), Problem> {
         Ok(())
     }
-    /// A message is to be written, of which nothing was so far. An error ends the connection before its first byte.
+    /// Something is to be written. An error ends the connection before that. Whether a message begins with it the guard
+    /// knows: a gate doesn't see the end of a chunked answer, after which the next request comes.
     fn may_write(&self) -> io::Result<()> {
         Ok(())
     }
@@ -228,9 +229,7 @@
         let me = self.get_mut();
         loop {
             ready!(me.socket.poll_write_ready(cx))?;
-            if me.next == Next::Nothing && me.held.is_empty() {
-                me.guard.may_write()?;
-            }
+            me.guard.may_write()?;
             match write(&me.socket) {
                 Err(error) if passes(&error) => {}
                 written => {
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -248,3 +248,36 @@
     let line = node.logged(" withheld_").await;
     assert!(line.contains("stats ") && line.contains(" withheld_Drain="), "{line}");
 }
+
+/// A connection on which a chunked answer came is used again. What was written on it may have run all the same.
+#[tokio::test]
+async fn a_request_behind_a_chunked_answer_may_have_run() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (node, _discovery, mut watch) = Node::serving(&[("one", &one)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = one.request().await;
+    wire.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n").await;
+    let (answer, _) = client.read_large().await;
+    assert_eq!(answer.status(), 200);
+    tokio::time::sleep(Duration::from_millis(50)).await; // It rests before it is used again.
+    client.send("unsafe", "1000m").await;
+    wire.read().await.expect("the next request on the same connection");
+    watch.list(2, false, &[member("two", two.address(), "active")]).await;
+    assert_eq!(client.read().await.expect("an answer").status(), 504);
+    assert!(two.untouched().await);
+}
+
+/// Of a pushed list all that was missed counts as told once discovery is back: it is asked for often while nobody is there.
+#[tokio::test]
+async fn a_discovery_that_is_down_is_asked_often() {
+    let server = Peer::new().await;
+    let (mut node, discovery, watch) = Node::serving(&[("s", &server)]).await;
+    watch.0.reset();
+    for _ in 0..8 {
+        discovery.accept().await.reset();
+        let line = node.logged("again in ").await;
+        let pause = line.rsplit("again in ").next().and_then(|rest| rest.strip_suffix(" ms")?.parse().ok());
+        assert!(pause.is_some_and(|pause: u64| pause <= 100), "{line}");
+    }
+}
