Hear a call that was given up until a list has come, not only until the next watch is open

By reading: a watch that opens may end instead of telling, and its opening closed the call before it, whose list was written and not read. Forced by a test in node/tests/faults.rs, seen to fail.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -299,6 +299,9 @@
         if !self.given_up.get() || awaited || list.revision > self.engine.revision() {
             self.engine.list(list, self.address);
         }
+        if !self.given_up.get() {
+            self.engine.forget_silent_call();
+        }
     }
 
     /// Follows a conversation to its end, or until it has been silent for too long. What discovery has written counts as
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -268,13 +268,17 @@
     /// A watch is open, though it may bring nothing for long.
     pub fn watching(&self) {
         self.watches.set(self.watches.get() + 1);
-        // It tells all that was missed: nothing is to be had any more from one that was given up.
-        self.state.borrow_mut().silent_call.take().iter().for_each(AbortHandle::abort);
         if self.asked {
             self.feed(Event::List { kind: ListKind::Changes, entries: Vec::new() });
         }
     }
 
+    /// A call that was not given up has told a list: one that was has nothing newer to say. Before that it may have, since a
+    /// watch that is open may end instead of telling.
+    pub fn forget_silent_call(&self) {
+        self.state.borrow_mut().silent_call.take().iter().for_each(AbortHandle::abort);
+    }
+
     /// How many watches have been opened.
     pub fn watches(&self) -> u64 {
         self.watches.get()
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -133,6 +133,22 @@
     assert_eq!(node.client().await.ask("safe").await.expect("an answer").status(), 503);
 }
 
+/// The next call may be answered first, and its watch end instead of telling: the late answer is heard all the same.
+#[tokio::test]
+async fn a_late_answer_is_heard_although_the_next_watch_is_open() {
+    let server = Peer::new().await;
+    let (node, discovery, watch) = Node::serving(&[("s", &server)]).await;
+    drop(watch);
+    let (mut late, _) = discovery.request().await;
+    let (_second, _) = discovery.watch().await;
+    // It is open once the node has read its head; its pause after that is long enough.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    late.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+    let mut late = Watch(late);
+    late.list(2, false, &[member("s", server.address(), "leaving")]).await;
+    node.holds(2).await;
+}
+
 /// How warm the `stats` line says that a server is.
 async fn warmth(node: &mut Node, server: u32) -> f64 {
     let mut client = node.client().await;
