--- a/fault-control/src/lib.rs
+++ b/fault-control/src/lib.rs
@@ -32,7 +32,7 @@
     Wait,
     /// `poll`: of use with EINTR alone.
     Poll,
-    /// `recv` on a TCP socket.
+    /// `recv` on a TCP socket that the process has connected itself.
     Receive,
     /// `send` and `writev` on a TCP socket.
     Send,
--- a/fault-shim/src/lib.rs
+++ b/fault-shim/src/lib.rs
@@ -9,12 +9,14 @@
 use fault_control::{Call, Control, Pauses, VARIABLE};
 use libc::{c_char, c_int, c_uint, c_void, iovec, mode_t, pollfd, sockaddr, socklen_t, ssize_t, timespec};
 use std::ffi::CString;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::OnceLock;
 use std::time::Duration;
 
 /// What a short read or write moves.
 const SHORT: usize = 3;
+/// Of higher descriptors it isn't known where they come from.
+const MOST_DESCRIPTORS: usize = 4096;
 const NANOSECONDS: i64 = 1_000_000_000;
 
 /// The control file, mapped at its first use. None: there is none, and nothing is changed.
@@ -141,14 +143,58 @@
     Socket: socket(domain: c_int, kind: c_int, protocol: c_int);
     Bind: bind(fd: c_int, address: *const sockaddr, length: socklen_t);
     Listen: listen(fd: c_int, backlog: c_int);
-    Connect: connect(fd: c_int, address: *const sockaddr, length: socklen_t);
-    Accept: accept4(fd: c_int, address: *mut sockaddr, length: *mut socklen_t, flags: c_int);
     Poll: poll(fds: *mut pollfd, count: libc::nfds_t, timeout: c_int);
     Sync: fsync(fd: c_int);
     Sync: fdatasync(fd: c_int);
     Rename: rename(from: *const c_char, to: *const c_char);
 }
 
+/// Descriptors of connections that the process has made, not accepted.
+static MADE: [AtomicBool; MOST_DESCRIPTORS] = [const { AtomicBool::new(false) }; MOST_DESCRIPTORS];
+
+/// Whether the process made a connection itself. Its end may show as an error that its peer knows nothing of.
+fn was_made(fd: c_int) -> bool {
+    usize::try_from(fd).ok().and_then(|at| MADE.get(at)).is_some_and(|made| made.load(Ordering::Relaxed))
+}
+
+fn note_made(fd: c_int, made: bool) {
+    if let Some(noted) = usize::try_from(fd).ok().and_then(|at| MADE.get(at)) {
+        noted.store(made, Ordering::Relaxed);
+    }
+}
+
+/// As the C library's, with failures.
+///
+/// # Safety
+/// As the C library's.
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if let Some(number) = failure(Call::Connect) {
+        return fail(number);
+    }
+    note_made(fd, true);
+    next::connect(fd, address, length)
+}
+
+/// As the C library's, with failures.
+///
+/// # Safety
+/// As the C library's.
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if let Some(number) = failure(Call::Accept) {
+        return fail(number);
+    }
+    let accepted = next::accept4(fd, address, length, flags);
+    note_made(accepted, false);
+    accepted
+}
+
 /// As the C library's, with failures, and pauses behind it.
 ///
 /// # Safety
@@ -197,7 +243,7 @@
     told
 }
 
-/// As the C library's, with failures and short reads on TCP sockets.
+/// As the C library's, with short reads on TCP sockets, and failures on those that the process has connected itself.
 ///
 /// # Safety
 /// As the C library's.
@@ -206,7 +252,7 @@
     if control().is_none() || !is_tcp(fd) {
         return next::recv(fd, buffer, length, flags);
     }
-    match failure(Call::Receive) {
+    match was_made(fd).then(|| failure(Call::Receive)).flatten() {
         Some(number) => fail(number) as ssize_t,
         None => next::recv(fd, buffer, moved(length), flags),
     }
