--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -297,3 +297,37 @@
         assert!(pause.is_some_and(|pause: u64| pause <= 100), "{line}");
     }
 }
+
+/// A read may be short without anything being wrong: what is left is read at once, not with the next bytes that come.
+#[tokio::test]
+async fn a_list_is_read_to_its_end_however_short_the_reads_are() {
+    let faults = FaultyCalls::new();
+    let server = Peer::new().await;
+    let (node, discovery, mut watch) = Node::faulty(&faults, &[("s", &server)]).await;
+    faults.control.short_rate.store(fault_control::MILLION, std::sync::atomic::Ordering::SeqCst);
+    watch.list(2, false, &[member("s", server.address(), "leaving")]).await;
+    tokio::select! {
+        () = node.holds(2) => {}
+        _ = discovery.request() => panic!("the watch was given up with a change on it"),
+    }
+}
+
+/// A request that came while a new process did not accept yet has waited: its server is told what is left.
+#[tokio::test]
+async fn the_time_of_a_request_runs_while_it_waits_to_be_accepted() {
+    let (server, discovery) = (Peer::new().await, Peer::new().await);
+    let known = serde_json::json!({"revision": 1, "complete": true, "members": [member("s", server.address(), "active")]});
+    let config = serde_json::json!({
+        "name": "n", "listen": "127.0.0.1:0", "seed": "1f", "discovery": discovery.address().to_string(),
+        "limits": {"sockets": 1024, "memory_mb": MEMORY_MB}, "settings": settings(), "known": known,
+    });
+    // Discovery never answers: the process waits 0.6 s for its list.
+    let node = Node::told(config, &[]).await;
+    let mut client = node.client().await;
+    client.send("safe", "20000m").await;
+    let (mut wire, request) = server.request().await;
+    let told = request.header("x-timeout").and_then(|told| told.strip_suffix('u')?.parse().ok());
+    assert!(told.is_some_and(|told: u64| told <= 19_550_000), "{told:?} us told, 19.4 s are left");
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
