Read a watch to its end however short its reads are, and count the wait to be accepted

Causes: tokio's TcpStream clears readiness when a read fills only a part of its buffer, so that what a short read leaves in the system is found with the next bytes only: a watch's change, told as written, was read up to 2 s later. And what waits in the listener's queue while a process waits for its first list, or for places, had its time counted from its reading. Changes: node/src/socket.rs reads until the system says that nothing is left (the gates did so already), for discovery and console; an accepted connection that has bytes may have waited since the listener was looked at before.

--- a/node/src/console.rs
+++ b/node/src/console.rs
@@ -4,6 +4,7 @@
 use crate::frontend::{accept_failed, discard, Phase, MOST_LINGERING};
 use crate::gate::{self, Problem};
 use crate::handover::{Keeper, Word};
+use crate::socket::Socket;
 use bytes::BytesMut;
 use hyper::StatusCode;
 use socket2::SockRef;
@@ -129,8 +130,9 @@
     }
 
     /// One call on one connection.
-    async fn call(self: Rc<Self>, mut stream: TcpStream) {
+    async fn call(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let mut stream = Socket(stream);
         let call = timeout(WHOLE, read_call(&mut stream)).await;
         let (call, (status, text)) = match call {
             Ok(Some(Ok((method, path)))) => {
@@ -151,8 +153,8 @@
         // Closing on unread bytes would reset the connection, and might take the answer from the caller.
         let ending = async {
             stream.write_all(answer.as_bytes()).await?;
-            SockRef::from(&stream).shutdown(Shutdown::Write)?;
-            discard(&stream, MOST_LINGERING).await;
+            SockRef::from(&stream.0).shutdown(Shutdown::Write)?;
+            discard(&stream.0, MOST_LINGERING).await;
             Ok::<_, std::io::Error>(())
         };
         let _ = timeout(LINGER, ending).await;
@@ -212,7 +214,7 @@
 }
 
 /// Reads a call's method and path, or what is wrong with it. None: nothing came.
-async fn read_call(stream: &mut TcpStream) -> Option<Result<(String, String), Problem>> {
+async fn read_call(stream: &mut Socket) -> Option<Result<(String, String), Problem>> {
     let mut held = BytesMut::with_capacity(1 << 10);
     loop {
         let read = stream.read_buf(&mut held).await.ok()?;
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of servers: its form on the wire, and the watch that follows its changes.
 
 use crate::engine::Engine;
+use crate::socket::Socket;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
@@ -333,9 +334,9 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<TcpStream, WatchError> {
+async fn connect(address: SocketAddr) -> Result<Socket, WatchError> {
     match timeout(CONNECT, TcpStream::connect(address)).await {
-        Ok(stream) => stream.map_err(WatchError::Connect),
+        Ok(stream) => stream.map(Socket).map_err(WatchError::Connect),
         Err(_) => Err(WatchError::Silent),
     }
 }
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -20,6 +20,7 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -113,6 +114,8 @@
     slots: Places,
     /// A connection has ended.
     ended: Notify,
+    /// Connections may have come since then.
+    listening_since: Instant,
     clients: RefCell<FxHashMap<u64, Rc<Client>>>,
     next_client: Cell<u64>,
 }
@@ -132,6 +135,8 @@
     taken: Cell<bool>,
     /// When the last byte of that request was read, if it was when it went there. Requests in a row wait for each other.
     whole_at: Cell<Option<Instant>>,
+    /// Since when the connection may have waited to be accepted, if bytes had come on it by then.
+    waiting_since: Cell<Option<Instant>>,
     /// Where it stood when it was to close.
     left: Cell<Stage>,
     wake: Notify,
@@ -270,7 +275,9 @@
 
     fn passed(&self, whole_at: Option<Instant>) {
         self.taken.set(true);
-        self.whole_at.set(whole_at);
+        // What had come before the connection was accepted may have come as long ago as that may have been made.
+        let waiting_since = self.waiting_since.take();
+        self.whole_at.set(whole_at.map(|at| waiting_since.unwrap_or(at)));
     }
 
     fn busy(&self) -> bool {
@@ -279,11 +286,12 @@
 }
 
 impl Frontend {
-    /// Takes at most `connections` at a time.
+    /// Takes at most `connections` at a time. They may have been made since `listening_since`.
     pub fn new(
         engine: Rc<Engine>,
         effects: Vec<Effect>,
         connections: usize,
+        listening_since: Instant,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
@@ -292,6 +300,7 @@
             phase,
             slots: Places::new(connections),
             ended: Notify::new(),
+            listening_since,
             clients: RefCell::default(),
             next_client: Cell::new(0),
         })
@@ -316,6 +325,7 @@
                 tokio::time::sleep(LAST_CHANCE).await;
             }
         });
+        let mut looked = self.listening_since;
         loop {
             // Not given up when the node closes: what the system has taken for us may hold requests, and would be
             // lost with the socket. One that is handed over lives on, and so does its queue.
@@ -325,8 +335,8 @@
             }
             tokio::select! {
                 biased; // The same holds here: the queue first, then the end.
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.clone().connected(stream, permit),
+                accepted = accept(&listener, &mut looked) => match accepted {
+                    Ok((stream, waiting_since)) => self.clone().connected(stream, waiting_since, permit),
                     Err(error) => accept_failed(&self.engine, "accept", &error).await,
                 },
                 () = &mut closing => break,
@@ -386,8 +396,9 @@
         self.slots.free() < self.slots.most() / SPARE_PART
     }
 
-    fn connected(self: Rc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    fn connected(self: Rc<Self>, stream: TcpStream, waiting_since: Instant, permit: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
+        let came_with_it = !gate::quiet(&stream);
         self.engine.stats().count(|c| c.accepted += 1);
         let client = Rc::new(Client {
             socket: Rc::new(stream),
@@ -398,6 +409,7 @@
             unread: Cell::new(false),
             taken: Cell::new(false),
             whole_at: Cell::new(None),
+            waiting_since: Cell::new(came_with_it.then_some(waiting_since)),
             left: Cell::new(Stage::New),
             wake: Notify::new(),
         });
@@ -695,6 +707,20 @@
     }
 }
 
+/// Accepts a connection, and tells since when it may have waited for that: if it is there at once, since the listener was
+/// looked at before, at `looked`.
+async fn accept(listener: &TcpListener, looked: &mut Instant) -> std::io::Result<(TcpStream, Instant)> {
+    let (before, mut waited) = (*looked, false);
+    poll_fn(|cx| {
+        let polled = listener.poll_accept(cx);
+        *looked = Instant::now();
+        waited |= polled.is_pending();
+        let waiting_since = if waited { *looked } else { before };
+        polled.map_ok(|(stream, _)| (stream, waiting_since))
+    })
+    .await
+}
+
 /// Logs a failed `accept`, and waits where the next would fail as well.
 pub async fn accept_failed(engine: &Engine, what: &str, error: &std::io::Error) {
     if calls::is_one_connections(error) {
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -270,7 +270,7 @@
 }
 
 /// Whether a call on a socket is to be made again, at once or when the socket is ready.
-fn passes(error: &io::Error) -> bool {
+pub fn passes(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -15,6 +15,7 @@
 mod handover;
 mod places;
 mod rules;
+mod socket;
 mod starts;
 mod stats;
 
@@ -142,6 +143,7 @@
         Some(number) => TcpListener::from_std(handover::adopt(number, config.listen)?)?,
         None => bound(config.listen)?,
     };
+    let listening_since = tokio::time::Instant::now();
     let calls = config.console.map(bound).transpose()?;
     engine.log(format_args!("listening on {}", listener.local_addr()?));
     engine.log(format_args!("{figures}"));
@@ -174,7 +176,7 @@
         engine.log(format_args!("console at {}", calls.local_addr()?));
         spawn_local(console.clone().serve(calls));
     }
-    let frontend = Frontend::new(engine.clone(), effects, clients, phases);
+    let frontend = Frontend::new(engine.clone(), effects, clients, listening_since, phases);
     if operated {
         let (engine, keeper, frontend) = (engine.clone(), keeper.clone(), frontend.clone());
         spawn_local(async move {
