--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -325,7 +325,7 @@
                 tokio::time::sleep(LAST_CHANCE).await;
             }
         });
-        let mut looked = self.listening_since;
+        let mut none_waited = self.listening_since;
         loop {
             // Not given up when the node closes: what the system has taken for us may hold requests, and would be
             // lost with the socket. One that is handed over lives on, and so does its queue.
@@ -335,7 +335,7 @@
             }
             tokio::select! {
                 biased; // The same holds here: the queue first, then the end.
-                accepted = accept(&listener, &mut looked) => match accepted {
+                accepted = accept(&listener, &mut none_waited) => match accepted {
                     Ok((stream, waiting_since)) => self.clone().connected(stream, waiting_since, permit),
                     Err(error) => accept_failed(&self.engine, "accept", &error).await,
                 },
@@ -707,16 +707,17 @@
     }
 }
 
-/// Accepts a connection, and tells since when it may have waited for that: if it is there at once, since the listener was
-/// looked at before, at `looked`.
-async fn accept(listener: &TcpListener, looked: &mut Instant) -> std::io::Result<(TcpStream, Instant)> {
-    let (before, mut waited) = (*looked, false);
+/// Accepts a connection, and tells since when it may have waited for that: one that is there at once may have come since
+/// nobody else was waiting, which was at `none_waited`.
+async fn accept(listener: &TcpListener, none_waited: &mut Instant) -> std::io::Result<(TcpStream, Instant)> {
+    let mut was_empty = false;
     poll_fn(|cx| {
         let polled = listener.poll_accept(cx);
-        *looked = Instant::now();
-        waited |= polled.is_pending();
-        let waiting_since = if waited { *looked } else { before };
-        polled.map_ok(|(stream, _)| (stream, waiting_since))
+        was_empty |= polled.is_pending();
+        if was_empty {
+            *none_waited = Instant::now();
+        }
+        polled.map_ok(|(stream, _)| (stream, *none_waited))
     })
     .await
 }
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -323,6 +323,7 @@
     });
     // Discovery never answers: the process waits 0.6 s for its list.
     let node = Node::told(config, &[]).await;
+    let _first = node.client().await;
     let mut client = node.client().await;
     client.send("safe", "20000m").await;
     let (mut wire, request) = server.request().await;
