Heed a late whole list of the version that is held: it may leave out what drains

A call given up after 2.5 s and answered late was heard, but its list counted only if its version was newer than the one held. Now equal counts too. Test in node/tests/faults.rs, seen to fail.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -295,9 +295,10 @@
 
     /// Hands on a list.
     fn tell(&self, list: &ServerList) {
-        // Of a call that was given up only what is newer than all that was heard since counts.
+        // Of a call that was given up only what is not older than all that was heard since counts. A whole list of the same
+        // version may name fewer: it leaves out what drains.
         let awaited = self.engine.needs_whole_list() && list.complete;
-        if !self.given_up.get() || awaited || list.revision > self.engine.revision() {
+        if !self.given_up.get() || awaited || list.revision >= self.engine.revision() {
             self.engine.list(list, self.address);
         }
         if !self.given_up.get() {
--- a/node/tests/faults.rs
+++ b/node/tests/faults.rs
@@ -149,6 +149,29 @@
     node.holds(2).await;
 }
 
+/// A whole list leaves out what drains, without being of another version for that.
+#[tokio::test]
+async fn a_late_whole_list_of_the_same_version_is_heard() {
+    let (kept, left) = (Peer::new().await, Peer::new().await);
+    let (node, discovery, watch) = Node::serving(&[("kept", &kept), ("left", &left)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut out, drains) = tokio::select! {
+        out = kept.request() => (out.0, "kept"),
+        out = left.request() => (out.0, "left"),
+    };
+    out.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    drop(watch);
+    let (mut late, _) = discovery.request().await;
+    let (_second, _) = discovery.request().await;
+    late.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+    let members = [member("kept", kept.address(), "active"), member("left", left.address(), "active")];
+    let named: Vec<_> = members.into_iter().filter(|member| member["id"] != drains).collect();
+    Watch(late).list(1, true, &named).await;
+    out.closed().await; // Nothing more goes to a server that is gone, nor is a connection to it kept.
+}
+
 /// How warm the `stats` line says that a server is.
 async fn warmth(node: &mut Node, server: u32) -> f64 {
     let mut client = node.client().await;
