--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -12,9 +12,13 @@
 /// A watch says something this often.
 const HEARTBEAT: Duration = Duration::from_secs(2);
 
+/// An answer within this is prompt.
+const PROMPT: Duration = Duration::from_millis(50);
+
 /// Changes how discovery behaves.
 pub fn turn(world: &World, to: Discovery) {
     let voice = match to {
+        Discovery::Answers(delay) if delay > PROMPT => Voice::Slow,
         Discovery::Answers(_) => Voice::Speaks,
         Discovery::Down => Voice::Down,
         Discovery::Silent => Voice::Silent,
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -102,6 +102,8 @@
 pub enum Voice {
     /// It answers calls and tells changes.
     Speaks,
+    /// It does so, but lets calls wait for longer than a node has to hear of what it missed.
+    Slow,
     /// It refuses calls, and tells nothing.
     Down,
     /// Calls and watches stay open, and nothing comes.
@@ -251,14 +253,14 @@
         (self.plan.cold_from + (1.0 - self.plan.cold_from) * age).min(1.0)
     }
 
-    /// The first moment from `since` on at which discovery spoke, for so long at least.
-    fn spoke(&self, since: Instant, least: Duration) -> Option<Instant> {
+    /// The first moment from `since` on at which discovery spoke in one of these ways, for so long at least.
+    fn spoke(&self, since: Instant, least: Duration, how: &[Voice]) -> Option<Instant> {
         let ends = self.voices.iter().skip(1).map(|voice| Some(voice.0)).chain([None]);
         let mut spells = self.voices.iter().zip(ends);
         let long_enough = |begin: Instant, end: Option<Instant>| {
             end.is_none_or(|end| end > since && end >= begin.max(since) + least)
         };
-        let spell = spells.find(|(voice, end)| voice.1 == Voice::Speaks && long_enough(voice.0, *end));
+        let spell = spells.find(|(voice, end)| how.contains(&voice.1) && long_enough(voice.0, *end));
         spell.map(|(voice, _)| voice.0.max(since))
     }
 
@@ -275,9 +277,9 @@
         let closed = self.servers[server].closed?;
         let listener = &self.nodes[node];
         let since = closed.max(listener.began);
-        let spoke = self.spoke(since, Duration::ZERO);
+        let spoke = self.spoke(since, Duration::ZERO, &[Voice::Speaks, Voice::Slow]);
         let reachable = spoke.map(|at| at + TOLD_AT_LAST);
-        let heard = self.spoke(since, LEAST_SPELL);
+        let heard = self.spoke(since, LEAST_SPELL, &[Voice::Speaks]);
         let pushed = heard.filter(|at| self.plan.pushed && self.was_not_silent(*at));
         let reloaded =
             listener.reloaded.filter(|_| spoke.is_some()).map(|at| since.max(at) + TOLD_AFTER_RELOAD);
