--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -200,7 +200,9 @@
     /// What has come of one has to be the beginning of some JSON.
     fn check(&mut self) -> Result<(), WatchError> {
         let begun = &self.held[..self.searched];
-        match serde_json::from_slice::<IgnoredAny>(begun) {
+        // A number that is cut is no good number, and yet the beginning of one.
+        let cut = begun.iter().rposition(|byte| !b"+-.0123456789eE".contains(byte)).map_or(0, |at| at + 1);
+        match serde_json::from_slice::<IgnoredAny>(&begun[..cut]) {
             Err(error) if !error.is_eof() => Err(WatchError::BadLine(error.to_string())),
             _ => {
                 self.sound = begun.len();
--- a/node/src/discovery_tests.rs
+++ b/node/src/discovery_tests.rs
@@ -42,3 +42,16 @@
         .collect();
     assert!(taken(&bytes).is_err());
 }
+
+/// A list that comes a byte at a time is good at every byte, also where a number is cut.
+#[test]
+fn a_list_that_is_cut_inside_a_number_is_no_bad_line() {
+    let list = br#"{"revision":1,"complete":true,"members":[{"id":"s","host_port":"127.0.0.1:1","phase":"active","size":1.25e-1}]}"#;
+    for cut in 1..list.len() {
+        let mut documents = Documents::default();
+        documents.extend(&list[..cut]);
+        assert!(matches!(documents.next(), Ok(None)), "cut at {cut}");
+        documents.extend(&list[cut..]);
+        assert!(matches!(documents.next(), Ok(Some(_))), "cut at {cut}");
+    }
+}
