Hold the tests' spawn lock until the child runs its own program

Seen: upstream_attempts::refused_connection_counts_as_not_executed got 504 in place of 503 at times, only while many copies of its program ran beside load (4 of 1,590 runs by an earlier count; 1 of 1,000 here, ten copies beside eight busy loops).

Cause: the test's own process. The lock that keeps closing sockets and starting processes apart was released when the spawn returned. On Linux the parent goes on once the child has its new memory, before the child's close-on-exec. A listener that the test closed in between was still held by the child: it accepted the proxy's connection and reset it.

Evidence: the log of the failed run has the connection made and reset after 0.39 ms, so that 504 is right for what the proxy met. The proxy is cleared.

Fix: wait, under the lock, until the child's memory maps the C library. Only the dynamic linker does that, which runs after the kernel has closed the descriptors. The test that failed is unchanged.

--- a/crates/proxy/tests/common/connection.rs
+++ b/crates/proxy/tests/common/connection.rs
@@ -1,11 +1,10 @@
 //! HTTP messages and connections that a test reads and writes byte by byte.
 
+use super::spawn_lock::CloseGuarded;
 use super::within;
 use socket2::SockRef;
 use std::net::SocketAddr;
-use std::ops::{Deref, DerefMut};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
@@ -35,39 +34,6 @@
     }
 }
 
-/// Held while a process starts and while a socket is closed. Between fork and exec a child holds
-/// copies of all sockets of this process, so a socket closed meanwhile would stay open for its peer.
-static FORK_LOCK: Mutex<()> = Mutex::new(());
-
-pub fn lock_forks() -> MutexGuard<'static, ()> {
-    FORK_LOCK
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
-/// A socket, or its owner, that is closed only while no process is being started.
-pub struct CloseGuarded<T>(pub Option<T>);
-
-impl<T> Deref for CloseGuarded<T> {
-    type Target = T;
-    fn deref(&self) -> &T {
-        self.0.as_ref().expect("taken only when dropped")
-    }
-}
-
-impl<T> DerefMut for CloseGuarded<T> {
-    fn deref_mut(&mut self) -> &mut T {
-        self.0.as_mut().expect("taken only when dropped")
-    }
-}
-
-impl<T> Drop for CloseGuarded<T> {
-    fn drop(&mut self) {
-        let _guard = lock_forks();
-        self.0 = None;
-    }
-}
-
 /// A TCP connection, accepted or made by the test.
 pub struct Connection(CloseGuarded<BufReader<TcpStream>>);
 
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod process;
 mod servers;
 mod settings;
+mod spawn_lock;
 
 pub use builder::{serve, serve_with_admin, serve_with_faults, ProxyBuilder};
 pub use connection::{Connection, Message};
@@ -17,6 +18,7 @@
 pub use process::{run_to_exit, ProxyProcess};
 pub use servers::{full_listener, unique_address, ScriptedServer, WatchStream};
 pub use settings::{endpoint, settings, MEMORY_MB};
+pub use spawn_lock::spawn_locked;
 
 use std::future::Future;
 use std::time::Duration;
--- a/crates/proxy/tests/common/process.rs
+++ b/crates/proxy/tests/common/process.rs
@@ -1,9 +1,11 @@
 //! A proxy process under test: its start, its log, its signals, what the system tells of it.
 
-use super::connection::{lock_forks, Connection, Message};
+use super::connection::{Connection, Message};
+use super::spawn_lock::spawn_locked;
 use super::within;
 use serde_json::Value;
 use socket2::SockRef;
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
@@ -45,11 +47,11 @@
             .env("GW_CONFIG", &config_path)
             .stderr(Stdio::piped())
             .kill_on_drop(true);
-        let _guard = lock_forks();
-        let child = match self.inherited_listener {
-            None => command.spawn().expect("a process"),
+        let spawn = || match self.inherited_listener {
+            None => command.spawn(),
             Some(listener) => spawn_inheriting(command, listener),
         };
+        let child = spawn_locked(spawn, Child::id).expect("a process");
         Spawned { child, config_path }
     }
 
@@ -65,12 +67,12 @@
     }
 }
 
-fn spawn_inheriting(mut command: Command, listener: &std::net::TcpListener) -> Child {
+fn spawn_inheriting(mut command: Command, listener: &std::net::TcpListener) -> io::Result<Child> {
     command.env("GW_LISTEN_FD", listener.as_raw_fd().to_string());
     let listener = SockRef::from(listener);
-    listener.set_cloexec(false).expect("a socket to hand over");
-    let child = command.spawn().expect("a process");
-    listener.set_cloexec(true).expect("a socket that is kept");
+    listener.set_cloexec(false)?;
+    let child = command.spawn();
+    listener.set_cloexec(true)?;
     child
 }
 
@@ -250,11 +252,9 @@
     /// Sends a signal by name.
     pub async fn signal(&self, signal: &str) {
         let pid = self.child.id().expect("it runs").to_string();
-        let spawned = {
-            let _guard = lock_forks();
-            Command::new("kill").args(["-s", signal, &pid]).spawn()
-        };
-        let status = within("kill", spawned.expect("kill").wait()).await;
+        let spawn = || Command::new("kill").args(["-s", signal, &pid]).spawn();
+        let mut kill = spawn_locked(spawn, Child::id).expect("kill");
+        let status = within("kill", kill.wait()).await;
         assert!(status.expect("its status").success());
     }
 
--- a/crates/proxy/tests/common/servers.rs
+++ b/crates/proxy/tests/common/servers.rs
@@ -1,6 +1,7 @@
 //! Listeners that stand in for backends and for discovery.
 
-use super::connection::{CloseGuarded, Connection, Message};
+use super::connection::{Connection, Message};
+use super::spawn_lock::CloseGuarded;
 use super::within;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
