--- a/crates/proxy/tests/common/servers.rs
+++ b/crates/proxy/tests/common/servers.rs
@@ -39,7 +39,12 @@
     }
 
     pub async fn accept(&self) -> Connection {
-        let accepted = within("a connection to be accepted", self.0.accept()).await;
+        within("a connection to be accepted", self.accept_when_it_comes()).await
+    }
+
+    /// The same, however long it takes.
+    pub async fn accept_when_it_comes(&self) -> Connection {
+        let accepted = self.0.accept().await;
         Connection::new(accepted.expect("a connection").0)
     }
 
