Take backends as long up whose timestamp is older than any clock error

Seen by callers: a node that starts beside backends of one timestamp, two hours old, rejects 224 of its first 360 requests; nothing is wrong with any backend.

Cause: StartTimes took the least of two ages, by this machine's clock and by the newest timestamp of the list. In a fleet that started together the second is zero for all, so that all counted as just started, and the bound of slow start left room for a quarter of the traffic; the rest was shed.

--- a/crates/proxy/src/start_times.rs
+++ b/crates/proxy/src/start_times.rs
@@ -11,6 +11,8 @@
 use rustc_hash::FxHashMap;
 use std::time::Duration;
 
+/// Largest error of a wall clock that was stepped, in either direction.
+const MAX_CLOCK_ERROR: Duration = Duration::from_secs(3600);
 /// A start longer ago than this makes no difference.
 const MAX_AGE: Duration = Duration::from_secs(12 * 3600);
 /// Backends that no list names any more and that are remembered all the same, beyond as many as are
@@ -144,7 +146,8 @@
     }
 
     /// The latest start that any clock allows, for a timestamp from before this process received
-    /// lists. A timestamp that this machine's clock has not reached shows that this clock is wrong.
+    /// lists. A timestamp that this machine's clock has not reached shows that this clock is wrong;
+    /// one that it has passed by more than its largest error is old for certain.
     fn latest_possible_start(
         &self,
         now: Time,
@@ -158,7 +161,8 @@
         let age_by_wall_clock = wall_clock
             .checked_sub(timestamp)
             .unwrap_or(age_by_timestamps);
-        let age = age_by_timestamps.min(age_by_wall_clock);
+        let certain_age = wall_clock.saturating_sub(timestamp + MAX_CLOCK_ERROR);
+        let age = age_by_timestamps.min(age_by_wall_clock).max(certain_age);
         (age < MAX_AGE).then(|| Time(now.0.saturating_sub(age.as_nanos() as u64)))
     }
 }
