Limit backends that are probably warm by counted attempts, not by share

Seen by callers: a node that starts beside six backends that all started ten minutes ago, or whose timestamps its own stepped clock has not reached yet, rejects 224 to 226 of its first 360 requests, although every backend answers in 21 ms.

Cause: a clock that may have been stepped by an hour cannot tell these backends from ones that have just started. The bound of slow start held for all of them, as a share of the traffic; with no warm backend left to take the rest, the rest was shed.

Fix: the proxy tells the balancer two starts, the latest that any clock allows, and the likely one by its own clock. Capacity only grows during slow start, so what backends have answered they can answer again, and what each node counts for itself holds for all nodes together. A start that this process has observed, and one that both clocks call young, are bounded as before.

The careful side: a fleet that has just started, serving no more than slow start gives it, is not overloaded with the clock right and an hour off both ways; one young backend beside old ones is held back, likewise; probably warm backends that do not respond, or stand beside as many warm ones, are held back.

--- a/crates/balancer/examples/scripted_overload.rs
+++ b/crates/balancer/examples/scripted_overload.rs
@@ -76,6 +76,7 @@
         state: EndpointState::Active,
         weight: 1.0,
         started_at: None,
+        likely_started_at: None,
     }
 }
 
--- a/crates/balancer/src/backend.rs
+++ b/crates/balancer/src/backend.rs
@@ -84,8 +84,12 @@
     pub state: EndpointState,
     /// Its weight in the endpoint list.
     pub weight: f64,
-    /// When its process started, if that is recent.
+    /// The latest time at which its process can have started, if that is recent.
     pub started_at: Option<Time>,
+    /// When its process has probably started, if that is recent.
+    likely_started_at: Option<Time>,
+    /// It is used like a warm backend although a slow start cannot be ruled out.
+    pub counts_as_warm: bool,
     /// Its price, relative to the number of active backends.
     pub price: f64,
     /// The time up to which the price is updated.
@@ -128,6 +132,8 @@
                 DEFAULT_WEIGHT
             },
             started_at: endpoint.started_at,
+            likely_started_at: endpoint.likely_started_at,
+            counts_as_warm: false,
             price,
             price_updated_at: now,
             reported: ReportedLoad::new(now),
@@ -156,6 +162,7 @@
             self.zone = listed.zone;
             self.machine_type = listed.machine_type;
             self.cell = listed.cell;
+            self.likely_started_at = listed.likely_started_at;
         }
     }
 
@@ -182,7 +189,22 @@
         slow_start::available_capacity(limits, self.started_at, now)
     }
 
-    /// Whether it has less than its full capacity still.
+    /// Fraction of its full capacity that may be used.
+    pub fn usable_capacity(&self, limits: &ProtocolLimits, now: Time) -> f64 {
+        if self.counts_as_warm {
+            1.0
+        } else {
+            self.available_capacity(limits, now)
+        }
+    }
+
+    /// Whether its slow start is probably over, without that being certain.
+    pub fn is_probably_warm(&self, limits: &ProtocolLimits, now: Time) -> bool {
+        self.is_warming_up(limits, now)
+            && slow_start::available_capacity(limits, self.likely_started_at, now) >= 1.0
+    }
+
+    /// Whether it may have less than its full capacity still.
     pub fn is_warming_up(&self, limits: &ProtocolLimits, now: Time) -> bool {
         self.available_capacity(limits, now) < 1.0
     }
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -230,6 +230,7 @@
             return;
         };
         self.fleet.refresh(now, elapsed);
+        self.fleet.update_probably_warm(now);
         let arrival_rates = self.allocation.arrival_rates(now);
         let traffic = NodeTraffic {
             fraction: self.traffic_fraction.fraction(),
--- a/crates/balancer/src/balancer/attempts.rs
+++ b/crates/balancer/src/balancer/attempts.rs
@@ -82,6 +82,7 @@
         let Some(backend) = eligible else {
             return self.give_up(id, GiveUpReason::NoEligibleBackend, actions);
         };
+        let backend_id = backend.id;
         let new_connection = !backend.is_connected(now, self.settings.idle_timeout);
         // Until the body has been received there is nothing for the backend to work on.
         if !request.body_pending {
@@ -106,6 +107,7 @@
         });
         self.allocation.record_attempt(now, request.class);
         self.traffic_fraction.record_attempt(now);
+        self.fleet.record_attempt(now, backend_id);
     }
 
     /// Learns from the end of an attempt, and retries its request where it is still owed a
--- a/crates/balancer/src/events.rs
+++ b/crates/balancer/src/events.rs
@@ -32,8 +32,11 @@
     /// Its weight, of use where
     /// [`Settings::endpoint_weights_given`](crate::Settings::endpoint_weights_given).
     pub weight: f64,
-    /// When it last started; `None` for long ago.
+    /// The latest time at which it can have started; `None` for long ago.
     pub started_at: Option<Time>,
+    /// When it has probably started: the same or earlier; `None` for long ago. They differ where the
+    /// start is known by a clock that may have been stepped.
+    pub likely_started_at: Option<Time>,
 }
 
 /// What an [`Event::EndpointList`] holds.
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -3,12 +3,13 @@
 
 use crate::backend::Backend;
 use crate::backend_table::BackendTable;
+use crate::call_budget::CallBudget;
 use crate::estimators::{ExponentialMean, LatencyQuantile, MeanWork};
 use crate::events::{AttemptOutcome, Endpoint, ListUpdate};
 use crate::ids::BackendId;
 use crate::load_report::LoadReport;
 use crate::pricing::{self, PriceChange, Pricing, DRIFT_TIME};
-use crate::settings::Settings;
+use crate::settings::{RequestClass, Settings};
 use crate::share_solver::ShareInput;
 use crate::slow_start;
 use crate::snapshot::BackendSnapshot;
@@ -59,6 +60,8 @@
     pub mean_work: MeanWork,
     /// Fraction of the latest new connections that failed.
     pub connect_failures: ExponentialMean,
+    /// The limit for backends that are probably warm.
+    call_budget: CallBudget,
 }
 
 impl Fleet {
@@ -73,6 +76,7 @@
             typical_latency: LatencyQuantile::new(initial_latency),
             mean_work: MeanWork::new(MEAN_WORK_GAIN),
             connect_failures: ExponentialMean::new(0.0, CONNECT_FAILURE_GAIN),
+            call_budget: CallBudget::new(&settings.protocol_limits, settings.nodes),
             settings,
         }
     }
@@ -100,6 +104,9 @@
             return;
         };
         pricing::record_success(backend);
+        if backend.is_probably_warm(&self.settings.protocol_limits, now) {
+            self.call_budget.record_response(now);
+        }
         if !self.settings.throughput_reported {
             let mean_work = self.mean_work.seconds();
             // Where no work is known at all, any constant gives the same relative speeds.
@@ -108,6 +115,15 @@
         }
     }
 
+    /// Counts an attempt that starts at a backend.
+    pub fn record_attempt(&mut self, now: Time, id: BackendId) {
+        let limits = &self.settings.protocol_limits;
+        let backend = self.backends.get(id);
+        if backend.is_some_and(|backend| backend.is_probably_warm(limits, now)) {
+            self.call_budget.record_attempt(now);
+        }
+    }
+
     /// Takes in a failed attempt or load probe.
     pub fn record_failure(
         &mut self,
@@ -200,6 +216,50 @@
         self.speeds.set_mean_work_rate(work_rates / count);
     }
 
+    /// Decides which backends count as warm that are probably so. They do where less than half of
+    /// the backends open to a class are certainly warm: the others would be overloaded, or load
+    /// would be shed. What they get is limited by counted attempts instead.
+    pub fn update_probably_warm(&mut self, now: Time) {
+        let limits = &self.settings.protocol_limits;
+        let active = self.backends.active().enumerate();
+        let probably_warm: Vec<usize> = active
+            .filter(|(_, backend)| backend.is_probably_warm(limits, now))
+            .map(|(position, _)| position)
+            .collect();
+        if probably_warm.is_empty() {
+            return;
+        }
+        let mut is_needed = vec![false; self.backends.active_count()];
+        if self.call_budget.has_room(now, probably_warm.len()) {
+            for class in &self.settings.classes {
+                self.mark_where_few_are_warm(now, class, &mut is_needed);
+            }
+        }
+        for position in probably_warm {
+            self.backends.nth_active_mut(position).counts_as_warm = is_needed[position];
+        }
+    }
+
+    /// Marks the positions open to a class if less than half of these backends are certainly warm.
+    fn mark_where_few_are_warm(&self, now: Time, class: &RequestClass, marks: &mut [bool]) {
+        let limits = &self.settings.protocol_limits;
+        let positions = self.backends.positions_allowed_for(class);
+        let certainly_warm = positions
+            .iter()
+            .filter(|&&position| {
+                !self
+                    .backends
+                    .nth_active(position)
+                    .is_warming_up(limits, now)
+            })
+            .count();
+        if 2 * certainly_warm < positions.len() {
+            for position in positions {
+                marks[position] = true;
+            }
+        }
+    }
+
     /// What the share allocation needs of each active backend, in the node's order.
     pub fn share_inputs(&self, now: Time, traffic: NodeTraffic) -> Vec<ShareInput> {
         let count = self.backends.active_count() as f64;
@@ -254,9 +314,9 @@
                     / traffic.arrivals_per_second;
         }
         let limits = &self.settings.protocol_limits;
-        let available_capacity = backend.available_capacity(limits, now);
-        if available_capacity < 1.0 {
-            let warming_share = slow_start::max_share(limits, speed, available_capacity);
+        let usable_capacity = backend.usable_capacity(limits, now);
+        if usable_capacity < 1.0 {
+            let warming_share = slow_start::max_share(limits, speed, usable_capacity);
             max_share = max_share.min(warming_share);
         }
         max_share
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -63,6 +63,7 @@
 //!     state: EndpointState::Active,
 //!     weight: 1.0,
 //!     started_at: None,
+//!     likely_started_at: None,
 //! };
 //! let list = Event::EndpointList {
 //!     update: ListUpdate::Snapshot,
@@ -92,6 +93,7 @@
 mod backend;
 mod backend_table;
 mod balancer;
+mod call_budget;
 mod endpoint_list;
 mod estimators;
 mod events;
--- a/crates/balancer/src/selection.rs
+++ b/crates/balancer/src/selection.rs
@@ -24,10 +24,10 @@
 pub fn is_eligible(now: Time, settings: &Settings, request: &Request, backend: &Backend) -> bool {
     let class = settings.class(request.class);
     let limits = &settings.protocol_limits;
-    let available_capacity = backend.available_capacity(limits, now);
+    let usable_capacity = backend.usable_capacity(limits, now);
     // A single heavy request can overload a warming backend.
-    let is_too_heavy = available_capacity < 1.0
-        && request.work.unwrap_or(0.0) >= slow_start::max_request_work(limits, available_capacity);
+    let is_too_heavy = usable_capacity < 1.0
+        && request.work.unwrap_or(0.0) >= slow_start::max_request_work(limits, usable_capacity);
     backend.is_active()
         && backend.is_allowed_for(class)
         && !request.has_tried(backend.id)
@@ -89,7 +89,7 @@
         {
             continue;
         }
-        if !backend.is_warming_up(&settings.protocol_limits, now) {
+        if backend.usable_capacity(&settings.protocol_limits, now) >= 1.0 {
             warm.push(backend.id, share);
         } else if warming_backends == WarmingBackends::Included {
             warming.push(backend.id, share);
--- a/crates/balancer/src/slow_start_tests.rs
+++ b/crates/balancer/src/slow_start_tests.rs
@@ -8,7 +8,9 @@
     attempted_backend, balancer_with, change_endpoints, record_response, send_request, share,
     state_of, unknown_capacity_settings,
 };
-use crate::{BackendId, Balancer, EndpointState, Event, ListUpdate, RequestArrival, Settings};
+use crate::{
+    BackendId, Balancer, Endpoint, EndpointState, Event, ListUpdate, RequestArrival, Settings,
+};
 use std::time::Duration;
 
 /// Many nodes together: the intake of a warming backend stays far below its limit from its first
@@ -111,3 +113,53 @@
         "{actions:?}"
     );
 }
+
+/// A list in which this many backends are certainly warm and the others only probably.
+fn probably_warm_list(certainly_warm: u32, probably_warm: u32) -> Event {
+    let certain = (0..certainly_warm).map(|id| endpoint(id, EndpointState::Active, None));
+    let probable = (certainly_warm..certainly_warm + probably_warm).map(|id| Endpoint {
+        likely_started_at: None,
+        ..endpoint(id, EndpointState::Active, Some(at(1)))
+    });
+    endpoint_list(ListUpdate::Snapshot, certain.chain(probable).collect())
+}
+
+/// Attempts per backend for one request each 10 ms, which backends answer or not.
+fn attempts_at(list: Event, backends: usize, is_answered: bool) -> Vec<usize> {
+    let mut settings = unknown_capacity_settings();
+    settings.classes.truncate(1);
+    let mut balancer = Balancer::new(settings, 7, at(0)).expect("valid settings");
+    handle(&mut balancer, at(1), list);
+    let mut attempts = vec![0; backends];
+    for id in 0..300 {
+        let now = at(2 + 10 * id);
+        if let Some(backend) = send_request(&mut balancer, now, id) {
+            attempts[backend.0 as usize] += 1;
+            if is_answered {
+                record_response(&mut balancer, now, backend, 0.02, Some(0.02));
+            }
+        }
+    }
+    attempts
+}
+
+#[test]
+fn probably_warm_backends_that_respond_are_used_in_full() {
+    let attempts = attempts_at(probably_warm_list(0, 6), 6, true);
+    assert_eq!(attempts.iter().sum::<usize>(), 300, "{attempts:?}");
+}
+
+#[test]
+fn probably_warm_backends_that_do_not_respond_are_held_back() {
+    let attempts = attempts_at(probably_warm_list(0, 6), 6, false);
+    assert!(attempts.iter().sum::<usize>() < 200, "{attempts:?}");
+}
+
+#[test]
+fn probably_warm_backends_are_held_back_beside_as_many_warm_ones() {
+    let attempts = attempts_at(probably_warm_list(3, 3), 6, true);
+    assert_eq!(attempts.iter().sum::<usize>(), 300, "{attempts:?}");
+    for &probable in &attempts[3..] {
+        assert!(2 * probable < attempts[0], "{attempts:?}");
+    }
+}
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -107,6 +107,7 @@
         state,
         weight: 1.0,
         started_at,
+        likely_started_at: started_at,
     }
 }
 
--- a/crates/proxy/src/start_times.rs
+++ b/crates/proxy/src/start_times.rs
@@ -26,12 +26,38 @@
     timestamp: Duration,
 }
 
+/// When a backend started, on the process's own clock; `None` stands for long ago.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BackendStart {
+    /// The latest time that any clock allows.
+    pub latest: Option<Time>,
+    /// The time by this machine's wall clock, if that is not certainly wrong.
+    pub likely: Option<Time>,
+}
+
+impl BackendStart {
+    /// A start that this process has observed.
+    pub fn observed(at: Time) -> Self {
+        BackendStart {
+            latest: Some(at),
+            likely: Some(at),
+        }
+    }
+
+    /// This start, or a later one that was observed then.
+    pub fn or_observed(self, at: Option<Time>) -> Self {
+        BackendStart {
+            latest: self.latest.max(at),
+            likely: self.likely.max(at),
+        }
+    }
+}
+
 /// The start of a listed backend.
 struct ListedStart {
     /// As listed, in Unix time; zero for long ago.
     timestamp: Duration,
-    /// None for long ago.
-    started_at: Option<Time>,
+    start: BackendStart,
 }
 
 /// The end of a backend's maintenance.
@@ -69,39 +95,31 @@
         }
     }
 
-    /// When a listed backend started; None for long ago. `wall_clock` is this machine's own, in Unix
-    /// time.
+    /// When a listed backend started. `wall_clock` is this machine's own, in Unix time.
     pub fn start_of(
         &mut self,
         now: Time,
         wall_clock: Duration,
         name: &str,
         timestamp: Duration,
-    ) -> Option<Time> {
+    ) -> BackendStart {
         let by_timestamp = match self.listed.get(name) {
             // A timestamp that is left out from some list on does not mean a start.
-            Some(listed) if listed.timestamp == timestamp || timestamp.is_zero() => {
-                listed.started_at
-            }
+            Some(listed) if listed.timestamp == timestamp || timestamp.is_zero() => listed.start,
             _ => {
-                let started_at = if timestamp.is_zero() {
-                    None
+                let start = if timestamp.is_zero() {
+                    BackendStart::default()
                 } else if self.discovery_list_applied {
-                    Some(now)
+                    BackendStart::observed(now)
                 } else {
-                    self.latest_possible_start(now, wall_clock, timestamp)
+                    self.start_before_this_process(now, wall_clock, timestamp)
                 };
-                self.listed.insert(
-                    name.to_owned(),
-                    ListedStart {
-                        timestamp,
-                        started_at,
-                    },
-                );
-                started_at
+                self.listed
+                    .insert(name.to_owned(), ListedStart { timestamp, start });
+                start
             }
         };
-        by_timestamp.max(self.returned_at(name))
+        by_timestamp.or_observed(self.returned_at(name))
     }
 
     /// Notes that a list from discovery has been applied. `listed_count` backends are listed now.
@@ -145,28 +163,36 @@
             .map(|reading| reading.timestamp + (now - reading.at))
     }
 
-    /// The latest start that any clock allows, for a timestamp from before this process received
-    /// lists. A timestamp that this machine's clock has not reached shows that this clock is wrong;
-    /// one that it has passed by more than its largest error is old for certain.
-    fn latest_possible_start(
+    /// The start that a timestamp tells from before this process received lists. A timestamp that
+    /// this machine's clock has not reached shows that this clock is wrong; one that it has passed by
+    /// more than its largest error is old for certain.
+    fn start_before_this_process(
         &self,
         now: Time,
         wall_clock: Duration,
         timestamp: Duration,
-    ) -> Option<Time> {
+    ) -> BackendStart {
         let age_by_timestamps = self
             .least_timestamp_clock(now)
             .unwrap_or(timestamp)
             .saturating_sub(timestamp);
-        let age_by_wall_clock = wall_clock
-            .checked_sub(timestamp)
-            .unwrap_or(age_by_timestamps);
+        let age_by_wall_clock = wall_clock.checked_sub(timestamp);
         let certain_age = wall_clock.saturating_sub(timestamp + MAX_CLOCK_ERROR);
-        let age = age_by_timestamps.min(age_by_wall_clock).max(certain_age);
-        (age < MAX_AGE).then(|| Time(now.0.saturating_sub(age.as_nanos() as u64)))
+        let least_age = age_by_timestamps
+            .min(age_by_wall_clock.unwrap_or(age_by_timestamps))
+            .max(certain_age);
+        BackendStart {
+            latest: time_of_start(now, least_age),
+            likely: age_by_wall_clock.and_then(|age| time_of_start(now, age.max(least_age))),
+        }
     }
 }
 
+/// When a backend of this age started; `None` for long ago.
+fn time_of_start(now: Time, age: Duration) -> Option<Time> {
+    (age < MAX_AGE).then(|| Time(now.0.saturating_sub(age.as_nanos() as u64)))
+}
+
 #[cfg(test)]
 #[path = "start_times_tests.rs"]
 mod tests;
--- a/crates/proxy/src/start_times_tests.rs
+++ b/crates/proxy/src/start_times_tests.rs
@@ -18,7 +18,7 @@
     starts.observe_timestamps(now, endpoints.iter().map(|(_, timestamp)| *timestamp));
     let started = endpoints
         .iter()
-        .map(|(name, timestamp)| starts.start_of(now, wall, name, *timestamp))
+        .map(|(name, timestamp)| starts.start_of(now, wall, name, *timestamp).latest)
         .collect();
     starts.list_applied(endpoints.len(), |_| true);
     started
@@ -98,6 +98,31 @@
     assert_eq!(started, [Some(at(9)); 2]);
 }
 
+/// The likely start is by this machine's clock, as long as that can be right.
+#[test]
+fn likely_start_is_told_by_the_wall_clock() {
+    let start_at = |wall: Duration| {
+        let mut starts = StartTimes::default();
+        starts.observe_timestamps(at(0), [LIST_TIMESTAMP].into_iter());
+        starts.start_of(at(0), wall, "a", LIST_TIMESTAMP)
+    };
+    let start = start_at(LIST_TIMESTAMP + 10 * SECOND);
+    assert_eq!(start.latest, Some(at(0)));
+    assert_eq!(start.likely, Some(Time(at(0).0 - 10_000_000_000)));
+    let start = start_at(LIST_TIMESTAMP.checked_sub(SECOND).unwrap());
+    assert_eq!((start.latest, start.likely), (Some(at(0)), None));
+    let start = start_at(LIST_TIMESTAMP + 2 * HOUR);
+    assert_eq!(start.latest, Some(Time(at(0).0 - HOUR.as_nanos() as u64)));
+}
+
+#[test]
+fn observed_start_is_certain() {
+    let mut starts = StartTimes::default();
+    apply_list(&mut starts, at(0), LIST_TIMESTAMP, &[("a", LIST_TIMESTAMP)]);
+    let restarted = starts.start_of(at(9), LIST_TIMESTAMP + HOUR, "a", LIST_TIMESTAMP + SECOND);
+    assert_eq!(restarted, BackendStart::observed(at(9)));
+}
+
 #[test]
 fn backend_that_is_listed_again_keeps_its_start() {
     let mut starts = StartTimes::default();
--- a/crates/proxy/src/upstream/backend.rs
+++ b/crates/proxy/src/upstream/backend.rs
@@ -1,7 +1,8 @@
 //! One backend process as endpoint lists and operators describe it.
 
 use crate::send_invariants::BackendIdentity;
-use balancer::{BackendId, CellId, Endpoint, EndpointState, MachineTypeId, Time, ZoneId};
+use crate::start_times::BackendStart;
+use balancer::{BackendId, CellId, Endpoint, EndpointState, MachineTypeId, ZoneId};
 use std::cell::Cell;
 use std::net::SocketAddr;
 
@@ -30,7 +31,7 @@
     listed_state: Cell<EndpointState>,
     /// State by the endpoint list and the operators together.
     state: Cell<EndpointState>,
-    started_at: Cell<Option<Time>>,
+    start: Cell<BackendStart>,
     weight: Cell<f64>,
     placement: Cell<Placement>,
     generation: Cell<ConnectionGeneration>,
@@ -42,7 +43,7 @@
         id: BackendId,
         name: String,
         address: SocketAddr,
-        started_at: Option<Time>,
+        start: BackendStart,
     ) -> Self {
         Backend {
             id,
@@ -50,7 +51,7 @@
             address: Cell::new(address),
             listed_state: Cell::new(EndpointState::Removed),
             state: Cell::new(EndpointState::Removed),
-            started_at: Cell::new(started_at),
+            start: Cell::new(start),
             weight: Cell::new(0.0),
             placement: Cell::default(),
             generation: Cell::default(),
@@ -93,9 +94,9 @@
         self.listed_state.get()
     }
 
-    /// When it last started or returned from maintenance; `None` for long ago.
-    pub(super) fn started_at(&self) -> Option<Time> {
-        self.started_at.get()
+    /// When it last started or returned from maintenance.
+    pub(super) fn start(&self) -> BackendStart {
+        self.start.get()
     }
 
     /// The generation of a connection made now.
@@ -131,13 +132,14 @@
     }
 
     /// Sets when it started, and returns whether that has changed.
-    pub(super) fn replace_started_at(&self, started_at: Option<Time>) -> bool {
-        self.started_at.replace(started_at) != started_at
+    pub(super) fn replace_start(&self, start: BackendStart) -> bool {
+        self.start.replace(start) != start
     }
 
     /// Its entry for the balancer.
     pub(super) fn endpoint(&self) -> Endpoint {
         let placement = self.placement.get();
+        let start = self.start.get();
         Endpoint {
             backend: self.id,
             zone: placement.zone,
@@ -145,7 +147,8 @@
             cell: placement.cell,
             state: self.state.get(),
             weight: self.weight.get(),
-            started_at: self.started_at.get(),
+            started_at: start.latest,
+            likely_started_at: start.likely,
         }
     }
 }
--- a/crates/proxy/src/upstream/backend_registry.rs
+++ b/crates/proxy/src/upstream/backend_registry.rs
@@ -4,7 +4,7 @@
 use super::pool::ConnectionPool;
 use crate::discovery::wire::{EndpointList, EndpointPhase, ListedEndpoint};
 use crate::operator_state::store::OperatorState;
-use crate::start_times::StartTimes;
+use crate::start_times::{BackendStart, StartTimes};
 use balancer::{BackendId, CellId, Endpoint, EndpointState, MachineTypeId, Time, ZoneId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use settings::SettingNames;
@@ -119,14 +119,13 @@
         let mut changed = Vec::new();
         for backend in self.by_id.borrow().values() {
             let state = effective_state(operator_state, backend.name(), backend.listed_state());
-            let started_at = backend
-                .started_at()
-                .max(start_times.returned_at(backend.name()));
-            if (state, started_at) == (backend.state(), backend.started_at()) {
+            let returned_at = start_times.returned_at(backend.name());
+            let start = backend.start().or_observed(returned_at);
+            if (state, start) == (backend.state(), backend.start()) {
                 continue;
             }
             backend.set_state(state);
-            backend.replace_started_at(started_at);
+            backend.replace_start(start);
             self.pool.abandon_connections(backend);
             changed.push(backend.endpoint());
         }
@@ -163,14 +162,14 @@
             EndpointPhase::Draining => EndpointState::Draining,
             EndpointPhase::Removed => EndpointState::Removed,
         };
-        let started_at = self.start_times.borrow_mut().start_of(
+        let start = self.start_times.borrow_mut().start_of(
             now,
             wall_clock,
             &listed.name,
             listed.start_timestamp(),
         );
         let state = effective_state(&self.operator_state.borrow(), &listed.name, listed_state);
-        let backend = self.find_or_insert(listed, state, started_at)?;
+        let backend = self.find_or_insert(listed, state, start)?;
         backend.set_listed_state(listed_state);
         backend.set_state(state);
         backend.set_weight(listed.weight);
@@ -179,7 +178,7 @@
             self.by_name.borrow_mut().remove(&listed.name);
             self.by_id.borrow_mut().remove(&backend.id());
         } else {
-            self.update_process(&backend, listed, started_at);
+            self.update_process(&backend, listed, start);
         }
         Some(backend.endpoint())
     }
@@ -188,7 +187,7 @@
         &self,
         listed: &ListedEndpoint,
         state: EndpointState,
-        started_at: Option<Time>,
+        start: BackendStart,
     ) -> Option<Rc<Backend>> {
         if let Some(backend) = self.by_name.borrow().get(&listed.name) {
             return Some(backend.clone());
@@ -199,7 +198,7 @@
         }
         let id = BackendId(self.next_id.get());
         self.next_id.set(id.0.wrapping_add(1));
-        let backend = Rc::new(Backend::new(id, listed.name.clone(), address, started_at));
+        let backend = Rc::new(Backend::new(id, listed.name.clone(), address, start));
         self.by_name
             .borrow_mut()
             .insert(listed.name.clone(), backend.clone());
@@ -208,7 +207,7 @@
     }
 
     /// Updates where a listed backend runs and since when.
-    fn update_process(&self, backend: &Backend, listed: &ListedEndpoint, started_at: Option<Time>) {
+    fn update_process(&self, backend: &Backend, listed: &ListedEndpoint, start: BackendStart) {
         backend.set_placement(Placement {
             zone: ZoneId(position(&self.names.zones, &listed.zone)),
             machine_type: MachineTypeId(position(&self.names.machine_types, &listed.machine_type)),
@@ -217,7 +216,7 @@
         let has_moved = listed
             .address
             .is_some_and(|address| backend.replace_address(address));
-        let has_restarted = backend.replace_started_at(started_at);
+        let has_restarted = backend.replace_start(start);
         // Connections to an earlier process are dead, even where no close has arrived. Those to a
         // draining backend only take up descriptors.
         if has_restarted || has_moved || backend.state() == EndpointState::Draining {
--- a/crates/simulator-adapter/src/wire/events.rs
+++ b/crates/simulator-adapter/src/wire/events.rs
@@ -265,6 +265,7 @@
             unknown => return Err(self.unknown_value(WireField::EndpointState, unknown)),
         };
         let started_at = entry.u64(13);
+        let started_at = (started_at > 0).then_some(Time(started_at));
         Ok(Endpoint {
             backend: BackendId(entry.u32(0)),
             zone: ZoneId(entry.u8(4)),
@@ -272,7 +273,8 @@
             cell: CellId(entry.u16(6)),
             state,
             weight: entry.f32(9),
-            started_at: (started_at > 0).then_some(Time(started_at)),
+            started_at,
+            likely_started_at: started_at,
         })
     }
 
