Apply a peer process's state that forgetting warm backends has read

Seen by callers: requests to a backend in maintenance during an upgrade.

Cause: OperatorControl::forget_warmed_up changes the state file starting from what that holds, and so takes in what a peer process has stored since the last read, but did not apply it; the read right after found no difference. The process went on sending until the next change.

Fix: the change goes the way of admin calls, which apply all that they have read.

--- a/crates/proxy/src/admin/operator_control.rs
+++ b/crates/proxy/src/admin/operator_control.rs
@@ -85,9 +85,8 @@
                 .returned_from_maintenance
                 .retain(|name, _| !has_warmed_up(name));
         };
-        if let Err(error) = self.store.change(forget).await {
-            self.log.log(format_args!("{error}"));
-        }
+        // A failure is logged, and the change is tried again later.
+        let _ = self.change(forget).await;
     }
 
     /// Carries out a command. The change is stored and in force when this returns.
@@ -155,8 +154,8 @@
         Ok(reply_if_known(is_known, AdminReply::MaintenanceEnded))
     }
 
-    /// Changes the operator state for every process of the node, and applies it to this one. A
-    /// failure is logged.
+    /// Changes the operator state for every process of the node, and applies it to this one: with
+    /// the change, this process takes in what a peer process has stored before. A failure is logged.
     async fn change<T>(
         &self,
         change: impl FnOnce(&mut OperatorState) -> T,
--- a/crates/proxy/tests/operator_state.rs
+++ b/crates/proxy/tests/operator_state.rs
@@ -3,7 +3,9 @@
 mod common;
 use common::*;
 use fault_injection::SystemCall;
-use serde_json::Value;
+use serde_json::{json, Value};
+use std::time::Duration;
+use tokio::time::{sleep, sleep_until, Instant};
 
 const STATE_FILE: &str = "birchswitch.json";
 const NEW_STATE_FILE: &str = "birchswitch.json.next";
@@ -42,12 +44,30 @@
         (proxy, watch)
     }
 
-    /// The backends in maintenance, as the state file says.
-    fn in_maintenance(&self) -> Vec<String> {
+    /// The state file's content.
+    fn stored(&self) -> Value {
         let text =
             std::fs::read(self.folder.path.join(STATE_FILE)).unwrap_or_else(|_| b"null".to_vec());
-        let kept: Value = serde_json::from_slice(&text).expect("a whole file");
-        serde_json::from_value(kept["word"]["out"].clone()).unwrap_or_default()
+        serde_json::from_slice(&text).expect("a whole file")
+    }
+
+    /// Replaces the state file, as a peer process does.
+    fn store(&self, state: &str) {
+        let new_file = self.folder.path.join("another");
+        std::fs::write(&new_file, state).expect("a file");
+        std::fs::rename(new_file, self.folder.path.join(STATE_FILE)).expect("a file");
+    }
+
+    /// The backends in maintenance, as the state file says.
+    fn in_maintenance(&self) -> Vec<String> {
+        let stored = self.stored();
+        serde_json::from_value(stored["word"]["out"].clone()).unwrap_or_default()
+    }
+
+    /// Whether the state file names backends that may still be warming up after maintenance.
+    fn names_returned_backends(&self) -> bool {
+        let returned = &self.stored()["word"]["returned"];
+        returned.as_object().is_some_and(|names| !names.is_empty())
     }
 }
 
@@ -162,12 +182,7 @@
         .control
         .faults(SystemCall::OpenRead)
         .fail_next(5, &[libc::EIO]);
-    std::fs::write(node_state.folder.path.join("another"), another).expect("a file");
-    std::fs::rename(
-        node_state.folder.path.join("another"),
-        node_state.folder.path.join(STATE_FILE),
-    )
-    .expect("a file");
+    node_state.store(another);
     while faults
         .control
         .faults(SystemCall::OpenRead)
@@ -181,3 +196,43 @@
         .await;
     assert_eq!(node_state.in_maintenance(), ["a", "b"]);
 }
+
+/// The process forgets returns from maintenance in the file, and reads there what its peer has just
+/// stored: that has to be in force, too.
+#[tokio::test]
+async fn state_of_a_peer_process_that_is_read_by_a_change_is_applied() {
+    /// How long backends warm up, by the settings.
+    const WARM_UP: Duration = Duration::from_secs(1);
+    /// The peer stores its state this long before the end of the slow start.
+    const LEAD: Duration = Duration::from_millis(5);
+    const ROUNDS: usize = 5;
+    let (a, b) = (ScriptedServer::new().await, ScriptedServer::new().await);
+    let node_state = StatefulNode::new("peer", &[("a", &a), ("b", &b)]).await;
+    let (proxy, _watch) = node_state.start(&FaultInjection::new()).await;
+    for round in 0..ROUNDS {
+        assert_eq!(proxy.admin_call("POST", "/backends/b/ready").await, 200);
+        assert_eq!(proxy.admin_call("POST", "/backends/a/maint").await, 200);
+        assert_eq!(proxy.admin_call("POST", "/backends/a/ready").await, 200);
+        sleep_until(Instant::now() + WARM_UP - LEAD).await;
+        let mut stored = node_state.stored();
+        stored["word"]["out"] = json!(["b"]);
+        node_state.store(&stored.to_string());
+        while node_state.names_returned_backends() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        // A peer's state is read ten times a second.
+        sleep(Duration::from_millis(300)).await;
+        let mut client = proxy.connect().await;
+        for _ in 0..8 {
+            client.send("safe", "20000m").await;
+            let (mut connection, _) = tokio::select! {
+                request = a.accept_request() => request,
+                _ = b.accept_request() => panic!("sent to a backend in maintenance, round {round}"),
+            };
+            connection
+                .respond("200 OK", "Connection: close\r\n", "")
+                .await;
+            client.expect_status(200).await;
+        }
+    }
+}
