Test SIGTERM during an upgrade with requests at every stage

Seven requests are under way at the old process when it gets SIGTERM beside a ready new one: half a head on a new and on a kept connection, half a body, half an upload of 200 KB, an attempt without response, half a response head, half a download of 200 KB. Each is finished whole, its connection closed, and the process exits with success.

--- a/crates/proxy/tests/listener_inheritance.rs
+++ b/crates/proxy/tests/listener_inheritance.rs
@@ -161,3 +161,85 @@
         assert!(said.contains(why), "{said}");
     }
 }
+
+/// Requests whose head, body, attempt or response is incomplete when the old process is told to end.
+#[tokio::test]
+async fn requests_at_every_stage_are_finished_by_the_old_process_of_an_upgrade() {
+    /// More than the process buffers.
+    const LARGE: usize = 200_000;
+    let (discovery, backend) = (ScriptedServer::new().await, ScriptedServer::new().await);
+    let shared = SharedNode::new("stages", &discovery);
+    let members = [endpoint("s", backend.address(), "active")];
+    let (mut old, _old_watch) = shared.start(&discovery, &members).await;
+    let head = |id: &str, length: usize| {
+        format!(
+            "POST /unsafe HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n\
+             Content-Length: {length}\r\n\r\n"
+        )
+    };
+    let mut kept = old.connect().await;
+    assert_eq!(served(&mut kept, &backend).await.header("connection"), None);
+    let mut in_head = old.connect().await;
+    let mut in_body = old.connect().await;
+    let mut in_upload = old.connect().await;
+    let mut in_attempt = old.connect().await;
+    let mut in_response = old.connect().await;
+    let mut in_download = old.connect().await;
+    in_attempt.send("unsafe", "20000m").await;
+    let (mut attempt, _) = backend.accept_request().await;
+    in_response.send("unsafe", "20000m").await;
+    let (mut response, _) = backend.accept_request().await;
+    response.write("HTTP/1.1 200 OK\r\nContent-Le").await;
+    in_download.send("unsafe", "20000m").await;
+    let (mut download, _) = backend.accept_request().await;
+    let first_half = "d".repeat(LARGE / 2);
+    download
+        .write(&format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{first_half}"
+        ))
+        .await;
+    in_upload.write(&head("upload", LARGE)).await;
+    in_upload.write(&"u".repeat(LARGE / 2)).await;
+    let mut upload = backend.accept().await;
+    in_body.write(&(head("body", 4) + "ab")).await;
+    in_head.write(&head("head", 0)[..30]).await;
+    kept.write(&head("kept", 0)[..30]).await;
+    old.get("/health/live").await; // They have been read by now.
+
+    let (mut new, _new_watch) = shared.start(&discovery, &members).await;
+    old.wait_for_log("peer_process_running=true").await;
+    old.signal("TERM").await;
+    old.wait_for_log("shutting down handing_over=true").await;
+
+    in_head.write(&head("head", 0)[30..]).await;
+    kept.write(&head("kept", 0)[30..]).await;
+    in_body.write("cd").await;
+    for _ in 0..3 {
+        let (mut connection, _) = backend.accept_request().await;
+        connection
+            .respond("200 OK", "Connection: close\r\n", "")
+            .await;
+    }
+    in_upload.write(&"u".repeat(LARGE / 2)).await;
+    let uploaded = upload.read().await.expect("the whole upload");
+    assert_eq!(uploaded.body.len(), LARGE);
+    upload.respond("200 OK", "", "").await;
+    attempt.respond("200 OK", "", "").await;
+    response.write("ngth: 0\r\n\r\n").await;
+    download.write(&"d".repeat(LARGE / 2)).await;
+    for client in [
+        &mut in_head,
+        &mut kept,
+        &mut in_body,
+        &mut in_upload,
+        &mut in_attempt,
+        &mut in_response,
+    ] {
+        client.expect_status(200).await;
+        client.expect_closed().await;
+    }
+    let (_, body) = in_download.read_streamed().await;
+    assert_eq!(body.map(|body| body.len()), Some(LARGE));
+    assert!(old.wait_for_exit().await.success());
+    new.wait_for_log("peer_process_running=false").await;
+}
