--- a/crates/balancer/tests/slow_start_of_a_fleet.rs
+++ b/crates/balancer/tests/slow_start_of_a_fleet.rs
@@ -38,9 +38,19 @@
     }
 }
 
-/// One run: a fleet, nine in ten of whose backends are replaced at one moment.
+/// What is known of the backends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Backends {
+    /// All are warm; nine in ten are replaced at one moment.
+    Replaced,
+    /// All are probably warm when the nodes start, and stay.
+    ProbablyWarm,
+}
+
+/// One run of a fleet.
 #[derive(Clone, Copy)]
 struct Scenario {
+    known: Backends,
     nodes: u32,
     backends: u32,
     load_reporting: LoadReporting,
@@ -68,7 +78,14 @@
 
     /// All backends before any is replaced.
     fn first_list(&self) -> Event {
-        let endpoints = (0..self.backends).map(|id| endpoint(id, EndpointState::Active, None));
+        let started_at = match self.known {
+            Backends::Replaced => None,
+            Backends::ProbablyWarm => Some(at(0)),
+        };
+        let endpoints = (0..self.backends).map(|id| Endpoint {
+            likely_started_at: None,
+            ..endpoint(id, EndpointState::Active, started_at)
+        });
         endpoint_list(ListUpdate::Snapshot, endpoints.collect())
     }
 
@@ -85,6 +102,7 @@
 impl fmt::Display for Scenario {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Scenario {
+            known,
             nodes,
             backends,
             load_reporting,
@@ -93,7 +111,7 @@
         } = self;
         write!(
             formatter,
-            "{load_reporting:?}, {nodes} nodes, {backends} backends, {utilization} busy, seed {seed}"
+            "{known:?}, {load_reporting:?}, {nodes} nodes, {backends} backends, {utilization} busy, seed {seed}"
         )
     }
 }
@@ -133,7 +151,7 @@
     /// Times of the attempts at each backend, in milliseconds.
     attempts: BTreeMap<BackendId, Vec<u64>>,
     ends: BinaryHeap<Reverse<AttemptEnd>>,
-    /// Requests that arrive once all nodes know of the new backends.
+    /// Requests that arrive once all nodes know of the new backends, if there are any.
     arrived: u32,
     /// Those of them that are rejected on arrival.
     rejected: u32,
@@ -164,7 +182,7 @@
                 balancer,
                 traffic_fraction: weight / sum,
                 notified_at: REPLACED_AT + delay as u64,
-                is_notified: false,
+                is_notified: scenario.known == Backends::ProbablyWarm,
             }
         });
         let nodes = nodes.collect();
@@ -264,7 +282,11 @@
             Event::AttemptEnded(result) => result.attempt + 1,
             _ => 0,
         };
-        let is_counted = is_arrival && time >= REPLACED_AT + NOTIFIED_WITHIN;
+        let counted_from = match self.scenario.known {
+            Backends::Replaced => REPLACED_AT + NOTIFIED_WITHIN,
+            Backends::ProbablyWarm => 0,
+        };
+        let is_counted = is_arrival && time >= counted_from;
         self.arrived += u32::from(is_counted);
         for action in handle(&mut node.balancer, at(time), event) {
             match action {
@@ -355,21 +377,48 @@
     }
 }
 
+/// Nodes, backends and number of seeds.
+const SIZES: [(u32, u32, u64); 6] = [
+    (1, 20, 3),
+    (20, 60, 3),
+    (20, 200, 1),
+    (30, 60, 3),
+    (30, 200, 1),
+    (300, 180, 1),
+];
+
+/// Also where each node sees few requests. Backends reject a few, which sheds a few more.
+#[test]
+fn a_fleet_that_starts_beside_probably_warm_backends_sheds_little() {
+    const MAX_REJECTED_FRACTION: f64 = 0.1;
+    for load_reporting in [LoadReporting::Absent, LoadReporting::WithResponses] {
+        for (nodes, backends, seeds) in SIZES {
+            for seed in 0..seeds {
+                let scenario = Scenario {
+                    known: Backends::ProbablyWarm,
+                    nodes,
+                    backends,
+                    load_reporting,
+                    utilization: 0.7,
+                    seed,
+                };
+                let mut fleet = Fleet::new(scenario);
+                fleet.run();
+                let rejected = fleet.rejected_fraction();
+                println!("{scenario}: {rejected:.3} rejected");
+                assert!(rejected < MAX_REJECTED_FRACTION, "{scenario}: {rejected}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_fleet_keeps_to_the_limit_of_warming_backends_up_to_chance() {
-    /// Nodes, backends and number of seeds.
-    const SIZES: [(u32, u32, u64); 6] = [
-        (1, 20, 3),
-        (20, 60, 3),
-        (20, 200, 1),
-        (30, 60, 3),
-        (30, 200, 1),
-        (300, 180, 1),
-    ];
     for load_reporting in [LoadReporting::Absent, LoadReporting::WithResponses] {
         for (nodes, backends, seeds) in SIZES {
             for (seed, utilization) in (0..seeds).flat_map(|seed| [(seed, 0.7), (seed, 1.2)]) {
                 let scenario = Scenario {
+                    known: Backends::Replaced,
                     nodes,
                     backends,
                     load_reporting,
