Soak upgrades, maintenance, crowds, large messages and failing state files

A second scenario, operations, plays them beside the same faults of a seed; the draws and checks of the first stay as they are. Nodes inherit their listener and have admin servers. New checks: nothing is sent to a backend after its maintenance was confirmed, by any process of the node; an admin call is answered in time, and refused only where a write has failed; large bodies arrive unaltered both ways.

Also mended: a backend's count of requests underflowed where a request ended as it restarted, which panicked in debug builds.

--- a/crates/soak-test/src/backend.rs
+++ b/crates/soak-test/src/backend.rs
@@ -2,7 +2,8 @@
 
 use crate::cluster::TestCluster;
 use crate::http::{Connection, Message};
-use crate::invariants::{AttemptArrival, AttemptId, Execution};
+use crate::invariants::{AttemptArrival, AttemptId, Execution, Invariant};
+use crate::message_body;
 use crate::plan::{BackendBehavior, BackendIndex, CORES_PER_BACKEND};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,9 @@
 /// A backend that closes its connections unannounced does so this long after a response.
 const UNANNOUNCED_CLOSE_DELAY: Duration = Duration::from_millis(30);
 
+/// A backend that rejects late does so this long after the request.
+const LATE_REJECTION_DELAY: Duration = Duration::from_millis(300);
+
 const REJECTED: &str =
     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
 const SERVER_ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
@@ -85,6 +89,13 @@
             self.attempt_ended(&attempt, Execution::Never);
             return respond(connection, REJECTED).await;
         }
+        if behavior == BackendBehavior::RejectLate {
+            tokio::time::sleep(LATE_REJECTION_DELAY).await;
+            self.attempt_ended(&attempt, Execution::Never);
+            return respond(connection, REJECTED).await;
+        }
+        self.check_body(request_id, &request.body);
+        let response_bytes = message_body::requested_bytes(&request.start_line);
         self.execute().await;
         match behavior {
             BackendBehavior::Hang => std::future::pending().await,
@@ -105,30 +116,50 @@
                 self.attempt_ended(&attempt, Execution::Possible);
                 respond(connection, SERVER_ERROR).await
             }
-            BackendBehavior::Normal | BackendBehavior::Reject => {
-                self.succeed(connection, &attempt).await
+            BackendBehavior::Normal | BackendBehavior::Reject | BackendBehavior::RejectLate => {
+                self.succeed(connection, &attempt, response_bytes).await
             }
             BackendBehavior::CloseAfterResponse => {
-                self.succeed(connection, &attempt).await;
+                self.succeed(connection, &attempt, response_bytes).await;
                 tokio::time::sleep(UNANNOUNCED_CLOSE_DELAY).await;
                 ConnectionUse::Close
             }
         }
     }
 
+    fn check_body(&self, request_id: &str, body: &[u8]) {
+        if !message_body::is_intact(body) {
+            let backend = self.backend;
+            let problem = format!("backend {backend} got an altered body of {request_id}");
+            let mut checker = self.cluster.checker();
+            checker.violated(Invariant::NoInventedMessage, problem);
+        }
+    }
+
     /// Waits for a core and works on it.
     async fn execute(&self) {
-        let in_flight = &self.cluster.backends[self.backend.0].in_flight;
-        in_flight.set(in_flight.get() + 1);
+        let backend = &self.cluster.backends[self.backend.0];
+        let start = *backend.starts.borrow();
+        backend.in_flight.set(backend.in_flight.get() + 1);
         let core = self.cores.acquire().await;
         tokio::time::sleep(self.cluster.plan.service_time).await;
         drop(core);
-        in_flight.set(in_flight.get() - 1);
+        // A restart has forgotten the requests before it.
+        if *backend.starts.borrow() == start {
+            backend.in_flight.set(backend.in_flight.get() - 1);
+        }
     }
 
-    async fn succeed(&self, connection: &Connection, attempt: &AttemptId) -> ConnectionUse {
+    /// Responds with a body of at least this many bytes.
+    async fn succeed(
+        &self,
+        connection: &Connection,
+        attempt: &AttemptId,
+        response_bytes: usize,
+    ) -> ConnectionUse {
         self.attempt_ended(attempt, Execution::Possible);
-        let body = format!("{} of backend {}", attempt.request, self.backend);
+        let mut body = format!("{} of backend {}", attempt.request, self.backend);
+        message_body::fill(&mut body, response_bytes);
         let load_report = self.load_report_header();
         let response = format!(
             "HTTP/1.1 200 OK\r\n{load_report}Content-Length: {}\r\n\r\n{body}",
--- a/crates/soak-test/src/clients/mod.rs
+++ b/crates/soak-test/src/clients/mod.rs
@@ -6,7 +6,8 @@
 use crate::cluster::TestCluster;
 use crate::http::{Connection, ConnectionEnd, Message};
 use crate::invariants::{OBSERVER_ALLOWANCE, RESPONSE_ALLOWANCE};
-use crate::plan::{ClassIndex, Idempotency};
+use crate::message_body;
+use crate::plan::{ClassIndex, Idempotency, RequestClass, Scenario};
 use crate::proxy_node::ProxyNode;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -22,10 +23,16 @@
 const KEEP_PROBABILITY: f64 = 0.9;
 /// Clients at each node that let their connections rest.
 const RESTING_CLIENTS: usize = 12;
+/// Pause after which a client tries again to get a connection.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// About how long they do: as long as a node keeps a connection without a request.
 const REST_DURATION: Duration = Duration::from_secs(5);
 /// Chance that a request is written in two parts.
 const SPLIT_PROBABILITY: f64 = 0.05;
+/// Chance that a request or its response is large, where clients send large messages.
+const LARGE_PROBABILITY: f64 = 0.03;
+/// Sizes of large bodies, in bytes: more than a node buffers.
+const LARGE_BYTES: std::ops::Range<f64> = 70_000.0..300_000.0;
 /// Pause between the two parts.
 const SPLIT_PAUSE: Duration = Duration::from_millis(60);
 /// Chance that an impatient client leaves a request.
@@ -59,6 +66,8 @@
     text: String,
     /// How long the client waits.
     timeout: Duration,
+    /// Least size of the body of a response that succeeds.
+    response_bytes: usize,
 }
 
 /// Whether the connection of a request is good for another.
@@ -99,6 +108,10 @@
         sleep(Duration::from_secs_f64(self.uniform())).await;
         for round in 0.. {
             let Some(connection) = self.connection().await else {
+                if self.use_connections_until_exit() && !self.cluster.traffic_ended.get() {
+                    sleep(RECONNECT_PAUSE).await;
+                    continue;
+                }
                 return;
             };
             let id = format!("{}-r{number}-{round}", self.node.index);
@@ -122,7 +135,7 @@
         while !clients.cluster.traffic_ended.get() {
             sleep(clients.draw_interarrival_time()).await;
             // The front sends nothing new to a node that has been down for long.
-            if !clients.node.receives_traffic() {
+            if !clients.node.receives_traffic() && !clients.use_connections_until_exit() {
                 continue;
             }
             number += 1;
@@ -150,7 +163,13 @@
     /// The time until the next request of a Poisson process.
     fn draw_interarrival_time(&self) -> Duration {
         let exponential = -self.uniform().max(1e-9).ln();
-        Duration::from_secs_f64(exponential / self.cluster.plan.requests_per_second)
+        let rate = self.cluster.plan.requests_per_second * self.cluster.crowd_factor.get();
+        Duration::from_secs_f64(exponential / rate)
+    }
+
+    /// Whether clients go on using the connections that they have to a node that gets no new ones.
+    fn use_connections_until_exit(&self) -> bool {
+        self.cluster.plan.scenario == Scenario::Operations
     }
 
     /// An idle connection, or else a new one.
@@ -166,7 +185,12 @@
         std::iter::from_fn(|| idle.pop()).find(|connection| Connection::is_open(&connection.socket))
     }
 
+    /// A new connection. Where the node's listener outlives its processes the front makes none to a
+    /// node without a process: it would wait for the next one.
     async fn connect(&self) -> Option<Connection> {
+        if self.use_connections_until_exit() && !self.node.receives_traffic() {
+            return None;
+        }
         let connecting = TcpStream::connect(self.node.address);
         let connected = timeout(CONNECT_TIMEOUT, connecting).await;
         connected.ok()?.ok().map(Connection::new)
@@ -188,6 +212,7 @@
     /// Sends one request and waits for its response, or leaves it.
     async fn send_request(&self, id: &str, mut connection: Connection) -> Exchange {
         let generation = self.node.generation();
+        let connections_broken = self.node.connections_broken();
         let class = self.draw_class();
         let request = self.draw_request(id, class);
         self.cluster
@@ -205,7 +230,18 @@
             request.timeout + RESPONSE_ALLOWANCE + OBSERVER_ALLOWANCE + PATIENCE
         };
         match timeout(patience, connection.read()).await {
-            Ok(Ok(response)) => return self.response_received(id, connection, &response),
+            // It may have waited at the listener for the next process, which knows nothing of the time
+            // that passed.
+            Ok(Ok(_)) if self.use_connections_until_exit() && self.node.was_killed(generation) => {
+                self.cluster.checker().request_unread();
+            }
+            Ok(Ok(response)) => {
+                return self.response_received(id, connection, &request, &response);
+            }
+            Ok(Err(_)) if request.response_bytes > 0 && connection.incomplete_bytes() > 0 => {
+                let network_failed = self.node.connections_broken() > connections_broken;
+                self.response_ended_early(id, network_failed, generation);
+            }
             Ok(Err(end)) => {
                 self.connection_ended(id, &connection, end, generation)
                     .await;
@@ -236,23 +272,51 @@
         let timeout = class.deadline.mul_f64(0.3 + 0.7 * self.uniform());
         let timeout_ms = timeout.as_millis() as u64;
         let cost = plan.service_time.as_micros();
-        let name = class.name;
         let head = format!(
             "HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id}\r\nX-Timeout: {timeout_ms}m\r\nX-Cost: {cost}\r\n"
         );
-        let text = match class.idempotency {
-            Idempotency::Idempotent => format!("GET /{name}/x {head}\r\n"),
-            Idempotency::Keyed => format!(
-                "POST /{name}/x {head}Idempotency-Key: k{id}\r\nContent-Length: 4\r\n\r\nbody"
-            ),
-            Idempotency::NonIdempotent => {
-                format!("POST /{name}/x {head}Content-Length: 4\r\n\r\nbody")
-            }
-        };
+        let response_bytes = self.draw_large_bytes();
         ClientRequest {
-            text,
+            text: self.request_text(id, class, &head, response_bytes),
             timeout: Duration::from_millis(timeout_ms),
+            response_bytes,
+        }
+    }
+
+    /// The whole request, with the end of its first line and its common headers in `head`.
+    fn request_text(
+        &self,
+        id: &str,
+        class: &RequestClass,
+        head: &str,
+        response_bytes: usize,
+    ) -> String {
+        let name = class.name;
+        let query = if response_bytes > 0 {
+            message_body::query(response_bytes)
+        } else {
+            String::new()
+        };
+        if class.idempotency == Idempotency::Idempotent {
+            return format!("GET /{name}/x{query} {head}\r\n");
+        }
+        let key = match class.idempotency {
+            Idempotency::Keyed => format!("Idempotency-Key: k{id}\r\n"),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => String::new(),
+        };
+        let mut body = "body".to_owned();
+        message_body::fill(&mut body, self.draw_large_bytes());
+        let length = body.len();
+        format!("POST /{name}/x{query} {head}{key}Content-Length: {length}\r\n\r\n{body}")
+    }
+
+    /// The size of a body; 0 for a small one.
+    fn draw_large_bytes(&self) -> usize {
+        let sends_large = self.cluster.plan.scenario == Scenario::Operations;
+        if !sends_large || self.uniform() >= LARGE_PROBABILITY {
+            return 0;
         }
+        self.random.borrow_mut().random_range(LARGE_BYTES) as usize
     }
 
     /// Writes a request, at times in two parts.
@@ -266,11 +330,22 @@
         connection.write(second.as_bytes()).await
     }
 
-    fn response_received(&self, id: &str, connection: Connection, response: &Message) -> Exchange {
+    fn response_received(
+        &self,
+        id: &str,
+        connection: Connection,
+        request: &ClientRequest,
+        response: &Message,
+    ) -> Exchange {
         let status = response.status().unwrap_or(0);
-        self.cluster
-            .checker()
-            .response_received(id, status, &response.body);
+        let mut checker = self.cluster.checker();
+        checker.response_received(id, status, response);
+        let is_whole = response.body.len() >= request.response_bytes
+            && message_body::is_intact(&response.body);
+        if status == 200 && !is_whole {
+            checker.response_altered(id, response.body.len(), request.response_bytes);
+        }
+        drop(checker);
         let closes = response
             .header("connection")
             .is_some_and(|value| value.eq_ignore_ascii_case("close"));
@@ -281,6 +356,19 @@
         }
     }
 
+    /// The connection ended within a large response, which the client can tell. Only a backend or a
+    /// network that broke it off excuses that.
+    fn response_ended_early(&self, id: &str, network_failed: bool, generation: u64) {
+        let mut checker = self.cluster.checker();
+        if self.node.was_killed(generation) {
+            checker.request_unread();
+        } else if network_failed || checker.backend_restarted(id) {
+            checker.response_interrupted();
+        } else {
+            checker.request_lost(id, "its response ended early");
+        }
+    }
+
     /// The connection ended before the response: a request that was not read is sent again
     /// elsewhere, any other is lost.
     async fn connection_ended(
--- a/crates/soak-test/src/cluster.rs
+++ b/crates/soak-test/src/cluster.rs
@@ -56,6 +56,8 @@
     pub clients_impatient: Cell<bool>,
     /// Peers come that send no proper request.
     pub malformed_peers: Cell<bool>,
+    /// Multiple of the usual rate at which requests come.
+    pub crowd_factor: Cell<f64>,
     /// No more requests begin.
     pub traffic_ended: Cell<bool>,
     checker: RefCell<InvariantChecker>,
@@ -68,6 +70,8 @@
 pub enum AddressGroup {
     /// Of nodes.
     Nodes,
+    /// Of the nodes' admin servers.
+    Admin,
     /// Of backends.
     Backends,
     /// Of discovery: a node that moves to another address of it gets one of the next generation.
@@ -81,6 +85,7 @@
     fn octet(self) -> u8 {
         match self {
             AddressGroup::Nodes => 1,
+            AddressGroup::Admin => 3,
             AddressGroup::Backends => 2,
             AddressGroup::Discovery { generation } => 100 + (generation % 100) as u8,
         }
@@ -110,6 +115,7 @@
             watch_resets: watch::Sender::new(0),
             clients_impatient: Cell::default(),
             malformed_peers: Cell::default(),
+            crowd_factor: Cell::new(1.0),
             traffic_ended: Cell::default(),
             network,
             plan,
@@ -118,7 +124,13 @@
         for index in 0..cluster.plan.backends {
             let address = cluster.address(AddressGroup::Backends, index);
             let listener = TcpListener::bind(address).await?;
-            cluster.backends.push(Backend::new(listener.local_addr()?));
+            let state = if cluster.plan.joins_later(BackendIndex(index)) {
+                EndpointState::Removed
+            } else {
+                EndpointState::Active
+            };
+            let backend = Backend::new(listener.local_addr()?, state);
+            cluster.backends.push(backend);
             backend_listeners.push(listener);
         }
         Ok(NewCluster {
@@ -159,6 +171,16 @@
         self.change_endpoint(backend, |backend| backend.started_at_ms.set(started_at));
     }
 
+    /// Lists a backend that has just started and was not listed before.
+    pub fn join_backend(&self, backend: BackendIndex) {
+        self.checker().backend_started(backend);
+        let started_at = unix_milliseconds();
+        self.change_endpoint(backend, |backend| {
+            backend.started_at_ms.set(started_at);
+            backend.state.set(EndpointState::Active);
+        });
+    }
+
     /// Changes a backend's entry in the endpoint list.
     fn change_endpoint(&self, backend: BackendIndex, change: impl FnOnce(&Backend)) {
         let revision = *self.list_revision.borrow() + 1;
@@ -170,10 +192,10 @@
 }
 
 impl Backend {
-    fn new(address: SocketAddr) -> Self {
+    fn new(address: SocketAddr, state: EndpointState) -> Self {
         Backend {
             address,
-            state: Cell::new(EndpointState::Active),
+            state: Cell::new(state),
             started_at_ms: Cell::new(0),
             changed_in: Cell::new(1),
             behavior: Cell::new(BackendBehavior::Normal),
--- a/crates/soak-test/src/fault_injector.rs
+++ b/crates/soak-test/src/fault_injector.rs
@@ -3,6 +3,7 @@
 use crate::cluster::{EndpointState, TestCluster};
 use crate::discovery;
 use crate::discovery_mode::DiscoveryMode;
+use crate::operator;
 use crate::plan::{
     BackendBehavior, BackendIndex, Fault, NodeIndex, ScheduledFault, SystemCallFault,
 };
@@ -23,6 +24,8 @@
 const FREQUENT: u64 = 100_000;
 /// Rate of very frequent faults, in millionths.
 const VERY_FREQUENT: u64 = 200_000;
+/// Rate of faults of calls that are made once in a while, in millionths.
+const HALF: u64 = 500_000;
 /// How long a paused node stands still.
 const PAUSE_DURATION: Duration = Duration::from_millis(150);
 /// Least time between two pauses: the allowances of the invariants cover one.
@@ -72,6 +75,11 @@
                     self.cluster.restart_backend(backend);
                 }
             }
+            Fault::JoinBackends(backends) => {
+                for &backend in backends {
+                    self.cluster.join_backend(backend);
+                }
+            }
             Fault::Misbehave(backends, behavior) => self.misbehave(backends, *behavior).await,
             Fault::DiscoveryDown => self.change_discovery(DiscoveryMode::Down).await,
             Fault::DiscoverySilent => self.change_discovery(DiscoveryMode::Silent).await,
@@ -92,6 +100,23 @@
             }
             Fault::ImpatientClients => self.raise(&self.cluster.clients_impatient).await,
             Fault::MalformedPeers => self.raise(&self.cluster.malformed_peers).await,
+            Fault::UpgradeNodes(nodes) => {
+                self.on_nodes(nodes, |node| async move { node.upgrade().await })
+                    .await;
+            }
+            Fault::Maintenance(nodes, backend) => {
+                let (backend, duration) = (*backend, self.duration);
+                self.on_nodes(nodes, move |node| async move {
+                    operator::maintain(&node, backend, duration).await;
+                })
+                .await;
+            }
+            Fault::FailStateWrites(nodes) => self.disturb(nodes, fail_state_writes).await,
+            Fault::Crowd(factor) => {
+                self.cluster.crowd_factor.set(*factor);
+                sleep(self.duration).await;
+                self.cluster.crowd_factor.set(1.0);
+            }
         }
     }
 
@@ -156,6 +181,13 @@
     }
 }
 
+fn fail_state_writes(node: &ProxyNode) {
+    let errors = [libc::ENOSPC, libc::EIO];
+    for call in [SystemCall::Sync, SystemCall::Rename] {
+        node.control.faults(call).set_rate(HALF, &errors);
+    }
+}
+
 fn pause_at_times(node: &ProxyNode) {
     node.control
         .after_epoll_wait
--- a/crates/soak-test/src/http.rs
+++ b/crates/soak-test/src/http.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Bytes received of a message that is not complete.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.received.len()
+    }
+
     /// Writes all of these bytes.
     ///
     /// # Errors
--- a/crates/soak-test/src/invariants/attempts.rs
+++ b/crates/soak-test/src/invariants/attempts.rs
@@ -125,12 +125,14 @@
         let client_gone = client_gone_problem(request, first_byte);
         let deadline = deadline_problem(request, arrival);
         let drain = self.drain_problem(node, backend, first_byte);
+        let maintenance = self.maintenance_problem(node, backend, first_byte);
         let slow_start = self.slow_start_problem(node, backend, first_byte);
         [
             Problem::of(Invariant::NoDuplicateExecution, duplicate),
             Problem::of(Invariant::NoLostRequest, client_gone),
             Problem::of(Invariant::DeadlinePropagation, deadline),
             Problem::of(Invariant::SafeDrain, drain),
+            Problem::of(Invariant::SafeDrain, maintenance),
             Problem::of(Invariant::SlowStart, slow_start),
         ]
         .into_iter()
--- a/crates/soak-test/src/invariants/drain.rs
+++ b/crates/soak-test/src/invariants/drain.rs
@@ -11,6 +11,8 @@
 const NOTIFICATION_LIMIT: Duration = Duration::from_secs(6);
 /// A node counts as notified of a change this long after a reload.
 const NOTIFICATION_LIMIT_AFTER_RELOAD: Duration = Duration::from_secs(4);
+/// What discovery tells during an upgrade binds this long after the new process was ready.
+const UPGRADE_ALLOWANCE: Duration = Duration::from_secs(2);
 /// A watch that was silent may miss changes for this long after the silence began.
 const SILENT_WATCH_LIMIT: Duration = Duration::from_secs(12);
 /// Nodes call discovery ten times a second: they may miss one that is up for less time.
@@ -25,6 +27,23 @@
     drains_written: HashMap<BackendIndex, Instant>,
     /// When a backend's start was written, by backend.
     starts_written: HashMap<BackendIndex, Instant>,
+    upgrade: Option<Upgrade>,
+}
+
+/// The latest upgrade of a node: what is written to one of its processes the other need not know.
+#[derive(Clone, Copy)]
+struct Upgrade {
+    began: Instant,
+    /// When the new process was ready.
+    ready: Option<Instant>,
+}
+
+impl Upgrade {
+    /// When a notification binds that came at `at`; `None` while that is not known.
+    fn binds_at(self, at: Instant) -> Option<Instant> {
+        let binds_from = self.ready? + UPGRADE_ALLOWANCE;
+        Some(at.max(binds_from))
+    }
 }
 
 impl NodeNotifications {
@@ -35,14 +54,23 @@
             last_reload: None,
             drains_written: HashMap::new(),
             starts_written: HashMap::new(),
+            upgrade: None,
+        }
+    }
+
+    /// When a notification binds that came at `at`; `None` while that is not known.
+    fn binds_at(&self, at: Instant) -> Option<Instant> {
+        match self.upgrade {
+            Some(upgrade) if at >= upgrade.began => upgrade.binds_at(at),
+            _ => Some(at),
         }
     }
 
     /// Whether a backend's start was written before `at`.
     pub(super) fn knew_start(&self, backend: BackendIndex, at: Instant) -> bool {
-        self.starts_written
-            .get(&backend)
-            .is_some_and(|written| *written < at)
+        let written = self.starts_written.get(&backend);
+        let known = written.and_then(|&written| self.binds_at(written));
+        known.is_some_and(|known| known < at)
     }
 
     /// Forgets a backend's earlier start.
@@ -57,6 +85,21 @@
         self.nodes[node.0] = NodeNotifications::new(Instant::now());
     }
 
+    /// A new process of a node is started beside the old one.
+    pub fn upgrade_started(&mut self, node: NodeIndex) {
+        self.nodes[node.0].upgrade = Some(Upgrade {
+            began: Instant::now(),
+            ready: None,
+        });
+    }
+
+    /// The new process of an upgrade is ready.
+    pub fn upgrade_ready(&mut self, node: NodeIndex) {
+        if let Some(upgrade) = &mut self.nodes[node.0].upgrade {
+            upgrade.ready = Some(Instant::now());
+        }
+    }
+
     /// A node was signalled to read its configuration again.
     pub fn node_reloaded(&mut self, node: NodeIndex) {
         self.nodes[node.0].last_reload = Some(Instant::now());
@@ -118,10 +161,11 @@
             .filter(|_| reachable.is_some())
             .map(|reload| since.max(reload) + NOTIFICATION_LIMIT_AFTER_RELOAD);
         let written = notifications.drains_written.get(&backend).copied();
-        [by_poll, self.pushed_after(since), by_reload, written]
+        let notified = [by_poll, self.pushed_after(since), by_reload, written]
             .into_iter()
             .flatten()
-            .min()
+            .min()?;
+        notifications.binds_at(notified)
     }
 
     /// When a change since `since` counted as pushed, where lists are pushed.
--- a/crates/soak-test/src/invariants/mod.rs
+++ b/crates/soak-test/src/invariants/mod.rs
@@ -8,15 +8,17 @@
 mod discovery_timeline;
 mod drain;
 mod duplicates;
+mod maintenance;
 mod requests;
 mod responses;
 mod slow_start;
 
 pub use attempts::{AttemptArrival, AttemptId, Execution};
+pub use maintenance::ADMIN_CALL_LIMIT;
 pub use responses::RESPONSE_ALLOWANCE;
 
 use crate::discovery_mode::DiscoveryMode;
-use crate::plan::Plan;
+use crate::plan::{BackendIndex, NodeIndex, Plan};
 use discovery_timeline::DiscoveryTimeline;
 use drain::NodeNotifications;
 use requests::RequestRecord;
@@ -37,7 +39,7 @@
     NoLostRequest,
     /// Nothing is executed more often than its class allows, and a rejection promises no less.
     NoDuplicateExecution,
-    /// No attempt starts at backends that drain or are removed.
+    /// No attempt starts at backends that drain, are removed or are in maintenance.
     SafeDrain,
     /// No backend in slow start is overloaded.
     SlowStart,
@@ -49,6 +51,8 @@
     MalformedPeerRejected,
     /// A node starts, is ready in time, and ends only when it is signalled to.
     ProcessLifecycle,
+    /// An admin call gets the right answer in time.
+    AdminCall,
 }
 
 /// A violated invariant.
@@ -115,6 +119,8 @@
     nodes: Vec<NodeNotifications>,
     backends: Vec<BackendRecord>,
     discovery: DiscoveryTimeline,
+    /// When a node confirmed that a backend is in maintenance there.
+    maintenance: HashMap<(NodeIndex, BackendIndex), Instant>,
     totals: Totals,
     violations: Vec<Violation>,
     max_observer_lag: Duration,
@@ -133,6 +139,7 @@
                 .map(|_| BackendRecord::default())
                 .collect(),
             discovery: DiscoveryTimeline::new(now),
+            maintenance: HashMap::new(),
             totals: Totals::default(),
             violations: Vec::new(),
             max_observer_lag: Duration::ZERO,
--- a/crates/soak-test/src/invariants/requests.rs
+++ b/crates/soak-test/src/invariants/requests.rs
@@ -64,6 +64,23 @@
         }
     }
 
+    /// Whether a backend has restarted since an attempt of this request reached it.
+    pub fn backend_restarted(&self, id: &str) -> bool {
+        let Some(request) = self.requests.get(id) else {
+            return false;
+        };
+        request.attempts.iter().any(|attempt| {
+            let started = self.backends[attempt.backend.0].started;
+            started.is_some_and(|started| started >= attempt.first_byte)
+        })
+    }
+
+    /// A response that the node had begun to forward ended early, for the backend's or the network's
+    /// sake, and the client can tell.
+    pub fn response_interrupted(&mut self) {
+        self.totals.failed += 1;
+    }
+
     /// A request was not read, or its node was killed: its client may send it again.
     pub fn request_unread(&mut self) {
         self.totals.unanswered += 1;
--- a/crates/soak-test/src/invariants/responses.rs
+++ b/crates/soak-test/src/invariants/responses.rs
@@ -3,23 +3,26 @@
 
 use super::requests::RequestRecord;
 use super::{Invariant, InvariantChecker, Problem, OBSERVER_ALLOWANCE, SOCKET_ALLOWANCE};
+use crate::http::Message;
 use crate::plan::{Idempotency, KeyScope};
 use std::time::{Duration, Instant};
 
+/// Larger bodies are streamed.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
 /// A final response comes no later than this after its deadline.
 pub const RESPONSE_ALLOWANCE: Duration = Duration::from_millis(500);
 
 impl InvariantChecker {
     /// A client has its final response.
-    pub fn response_received(&mut self, id: &str, status: u16, body: &[u8]) {
+    pub fn response_received(&mut self, id: &str, status: u16, response: &Message) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
         let problems = [
-            late_problem(request, status),
+            late_problem(request, status, response),
             Problem::of(
                 Invariant::NoInventedMessage,
-                invention_problem(id, status, body),
+                invention_problem(id, status, &response.body),
             ),
             Problem::of(
                 Invariant::NoDuplicateExecution,
@@ -36,6 +39,15 @@
         }
     }
 
+    /// A response of this many bytes differs from what its backend sent.
+    pub fn response_altered(&mut self, id: &str, bytes: usize, expected_bytes: usize) {
+        let problem = Problem {
+            invariant: Invariant::NoInventedMessage,
+            description: format!("a response of {bytes} bytes, of at least {expected_bytes}"),
+        };
+        self.violated_by_request(&problem, id);
+    }
+
     fn rejection_problem(&self, request: &RequestRecord, status: u16) -> Option<String> {
         let is_rejection = matches!(status, 429 | 503);
         (is_rejection && !self.may_be_rejected(request))
@@ -59,10 +71,16 @@
         .then(|| "served with what no backend made for it".to_owned())
 }
 
-fn late_problem(request: &RequestRecord, status: u16) -> Option<Problem> {
+/// Of a response that is too large to be buffered only the first bytes are timed.
+fn late_problem(request: &RequestRecord, status: u16, response: &Message) -> Option<Problem> {
     let deadline = request.sent? + request.timeout;
     let limit = deadline + RESPONSE_ALLOWANCE + SOCKET_ALLOWANCE + OBSERVER_ALLOWANCE;
-    (Instant::now() > limit).then(|| Problem {
+    let came_at = if response.body.len() > MAX_BUFFERED_BYTES {
+        response.first_byte
+    } else {
+        Instant::now()
+    };
+    (came_at > limit).then(|| Problem {
         invariant: Invariant::NoLostRequest,
         description: format!("the response {status} came too late"),
     })
--- a/crates/soak-test/src/invariants/slow_start.rs
+++ b/crates/soak-test/src/invariants/slow_start.rs
@@ -2,9 +2,7 @@
 //! multiple of its capacity from nodes that knew of its start.
 
 use super::InvariantChecker;
-use crate::plan::{
-    BackendIndex, NodeIndex, CORES_PER_BACKEND, OVERLOAD_DURATION, OVERLOAD_MULTIPLE,
-};
+use crate::plan::{BackendIndex, NodeIndex, CORES_PER_BACKEND, OVERLOAD_DURATION};
 use std::collections::VecDeque;
 use std::time::Instant;
 
@@ -23,7 +21,7 @@
     /// When it began to drain or was removed.
     pub(super) taken_out: Option<Instant>,
     /// Its last start during the run.
-    started: Option<Instant>,
+    pub(super) started: Option<Instant>,
     /// Attempts within [`OVERLOAD_DURATION`], in order of time.
     arrivals: VecDeque<Arrival>,
     overloaded: bool,
@@ -80,7 +78,8 @@
         record.push_arrival(now, node);
         let requests_per_second =
             CORES_PER_BACKEND as f64 / self.plan.service_time.as_secs_f64() * available_capacity;
-        let allowed = OVERLOAD_MULTIPLE * requests_per_second * OVERLOAD_DURATION.as_secs_f64();
+        let allowed =
+            self.plan.overload_multiple * requests_per_second * OVERLOAD_DURATION.as_secs_f64();
         let arrived = record.arrivals.len();
         if arrived as f64 <= allowed + chance_allowance(allowed) {
             return None;
--- a/crates/soak-test/src/lib.rs
+++ b/crates/soak-test/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod fault_injector;
 pub mod http;
 pub mod invariants;
+pub mod message_body;
+pub mod operator;
 pub mod plan;
 pub mod proxy_node;
 pub mod run;
--- a/crates/soak-test/src/main.rs
+++ b/crates/soak-test/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::Parser;
 use soak_test::invariants::Invariant;
-use soak_test::plan::Plan;
+use soak_test::plan::{Plan, Scenario};
 use soak_test::proxy_node::Programs;
 use soak_test::run::{run, RunReport};
 use std::collections::BTreeMap;
@@ -46,6 +46,9 @@
     /// Seconds of traffic of each run.
     #[arg(long, default_value_t = 8)]
     seconds: u64,
+    /// What the runs are made of.
+    #[arg(long, value_enum, default_value_t)]
+    scenario: Scenario,
     /// The proxy; by default the one that was built beside this program.
     #[arg(long)]
     proxy: Option<PathBuf>,
@@ -154,7 +157,11 @@
                 return None;
             }
         };
-        let plan = Plan::draw(seed, options.nodes, Duration::from_secs(options.seconds));
+        let duration = Duration::from_secs(options.seconds);
+        let plan = match options.scenario {
+            Scenario::Faults => Plan::draw(seed, options.nodes, duration),
+            Scenario::Operations => Plan::draw_operations(seed, options.nodes, duration),
+        };
         match run_once(plan, network, folder.path(), programs) {
             Ok(report) if report.max_observer_lag > MAX_OBSERVER_LAG => {
                 let lag = report.max_observer_lag.as_millis();
--- a/crates/soak-test/src/plan/fault.rs
+++ b/crates/soak-test/src/plan/fault.rs
@@ -22,9 +22,11 @@
     Garbage,
     /// Serves them, and closes the connection soon after without announcing it.
     CloseAfterResponse,
+    /// Responds after a while that it has not executed them.
+    RejectLate,
 }
 
-/// All behaviors but the normal one, in the order in which they are drawn.
+/// The behaviors that are drawn for any fault, in the order in which they are drawn.
 pub(super) const FAULTY_BEHAVIORS: [BackendBehavior; 7] = [
     BackendBehavior::Hang,
     BackendBehavior::ServerError,
@@ -60,7 +62,7 @@
 ];
 
 /// What goes wrong. Nodes and backends are named by their positions.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
     /// Nodes get SIGTERM, and start again once they have ended.
     TerminateNodes(Vec<NodeIndex>),
@@ -74,6 +76,8 @@
     RemoveBackends(Vec<BackendIndex>),
     /// Backends restart under the same id.
     RestartBackends(Vec<BackendIndex>),
+    /// Backends that were not listed before start and join.
+    JoinBackends(Vec<BackendIndex>),
     /// Backends behave like this for a while.
     Misbehave(Vec<BackendIndex>, BackendBehavior),
     /// Discovery refuses every call and ends its watches for a while.
@@ -94,10 +98,18 @@
     ImpatientClients,
     /// Peers that send no proper request come, for a while.
     MalformedPeers,
+    /// A new process of these nodes takes over from the old one, which then gets SIGTERM.
+    UpgradeNodes(Vec<NodeIndex>),
+    /// Operators of these nodes take a backend out of use, and put it back after a while.
+    Maintenance(Vec<NodeIndex>, BackendIndex),
+    /// These nodes cannot write their operator state, for a while.
+    FailStateWrites(Vec<NodeIndex>),
+    /// Requests come at this multiple of the usual rate, for a while.
+    Crowd(f64),
 }
 
 /// A fault and its time.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ScheduledFault {
     /// When it begins, from the beginning of the traffic.
     pub at: Duration,
--- a/crates/soak-test/src/plan/mod.rs
+++ b/crates/soak-test/src/plan/mod.rs
@@ -2,6 +2,7 @@
 //! seed runs the same faults again.
 
 mod fault;
+mod operations;
 mod positions;
 mod request_class;
 mod settings;
@@ -16,8 +17,8 @@
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-/// Multiple of its present capacity above which a backend in slow start is overloaded.
-pub const OVERLOAD_MULTIPLE: f64 = 3.0;
+/// Multiple of its present capacity above which a backend in slow start is usually overloaded.
+const USUAL_OVERLOAD_MULTIPLE: f64 = 3.0;
 /// A backend in slow start that is overloaded for this long fails.
 pub const OVERLOAD_DURATION: Duration = Duration::from_secs(1);
 /// Requests that a backend works on at a time.
@@ -27,6 +28,17 @@
 /// Steps of the wall clock, in seconds.
 const WALL_CLOCK_STEPS: [i64; 4] = [3600, -3600, 5, -5];
 
+/// What a plan is made of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Scenario {
+    /// Faults of nodes, backends, discovery and clients.
+    #[default]
+    Faults,
+    /// Besides these, what operators do: upgrades and maintenance. Clients send large messages, come
+    /// in crowds, and use the connections that they have for as long as these are open.
+    Operations,
+}
+
 /// Where a backend is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BackendLocation {
@@ -41,6 +53,8 @@
 pub struct Plan {
     /// The seed.
     pub seed: u64,
+    /// What the plan is made of.
+    pub scenario: Scenario,
     /// Number of nodes.
     pub nodes: usize,
     /// Number of backends.
@@ -65,6 +79,8 @@
     pub slow_start_initial_capacity: f64,
     /// Time from its start until a backend has its full capacity.
     pub slow_start_duration: Duration,
+    /// Multiple of its present capacity above which a backend in slow start is overloaded.
+    pub overload_multiple: f64,
     /// Connections to backends are closed after this time without a request.
     pub idle_timeout: Duration,
     /// How long there is traffic.
@@ -81,6 +97,7 @@
         let classes = draw_classes(random);
         let mut plan = Plan {
             seed,
+            scenario: Scenario::Faults,
             nodes,
             backends,
             locations: (0..backends).map(location).collect(),
@@ -93,6 +110,7 @@
             drain_grace: draw_milliseconds(random, 400..=800),
             slow_start_initial_capacity: random.random_range(0.1..0.4),
             slow_start_duration: draw_milliseconds(random, 3000..=6000),
+            overload_multiple: USUAL_OVERLOAD_MULTIPLE,
             idle_timeout: draw_milliseconds(random, 800..=4000),
             traffic_duration,
             faults: Vec::new(),
@@ -141,6 +159,13 @@
         }
     }
 
+    /// Whether a backend is not listed at first.
+    pub fn joins_later(&self, backend: BackendIndex) -> bool {
+        self.faults.iter().any(|scheduled| {
+            matches!(&scheduled.fault, Fault::JoinBackends(joining) if joining.contains(&backend))
+        })
+    }
+
     /// The longest that a client waits.
     pub fn longest_deadline(&self) -> Duration {
         self.classes
--- a/crates/soak-test/src/plan/settings.rs
+++ b/crates/soak-test/src/plan/settings.rs
@@ -1,8 +1,6 @@
 //! The settings of a run's nodes, as the protocol writes them.
 
-use super::{
-    Idempotency, KeyScope, Plan, RequestClass, OVERLOAD_DURATION, OVERLOAD_MULTIPLE, ZONE_NAMES,
-};
+use super::{Idempotency, KeyScope, Plan, RequestClass, OVERLOAD_DURATION, ZONE_NAMES};
 use serde_json::{json, Value};
 use std::time::Duration;
 
@@ -34,7 +32,7 @@
             "rules": {
                 "ask_every_ns": 10_000_000_000u64, "cold_from": self.slow_start_initial_capacity,
                 "drain_grace_ns": nanoseconds(self.drain_grace),
-                "fall_multiple": OVERLOAD_MULTIPLE,
+                "fall_multiple": self.overload_multiple,
                 "overload_for_ns": nanoseconds(OVERLOAD_DURATION),
                 "warm_up_ns": nanoseconds(self.slow_start_duration),
             },
--- a/crates/soak-test/src/proxy_node.rs
+++ b/crates/soak-test/src/proxy_node.rs
@@ -1,16 +1,21 @@
 //! Proxy nodes: real processes that are started, signalled, ended and started again.
 
+mod upgrade;
+
 use crate::cluster::{AddressGroup, TestCluster};
 use crate::discovery;
 use crate::http::Connection;
 use crate::invariants::Invariant;
-use crate::plan::{NodeIndex, ZONE_NAMES};
-use fault_injection::{ControlFile, CONTROL_FILE_VARIABLE};
+use crate::invariants::InvariantChecker;
+use crate::plan::{NodeIndex, Scenario, ZONE_NAMES};
+use fault_injection::{ControlFile, SystemCall, CONTROL_FILE_VARIABLE};
 use serde_json::json;
-use std::cell::{Cell, RefCell};
+use socket2::SockRef;
+use std::cell::{Cell, RefCell, RefMut};
 use std::fs::File;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
@@ -39,6 +44,9 @@
 /// Pause between two looks at a process.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Pause between the signals of a series.
+const SIGNAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// The programs of a run.
 #[derive(Clone, Copy)]
 pub struct Programs<'a> {
@@ -62,6 +70,14 @@
     fault_library: PathBuf,
     /// The process, while it runs.
     process: RefCell<Option<Child>>,
+    /// The process before an upgrade, while it runs.
+    retiring_process: RefCell<Option<Child>>,
+    /// The listening socket for clients, where processes inherit it.
+    listener: Option<TcpListener>,
+    /// Where operators call the present process.
+    admin_address: Cell<SocketAddr>,
+    /// It was ended for good.
+    has_stopped: Cell<bool>,
     /// Counts the processes.
     generation: Cell<u64>,
     /// The last generation that was killed.
@@ -92,8 +108,10 @@
         std::fs::create_dir_all(folder.join("tmp"))?;
         let control = ControlFile::create(&folder.join("faults"))?;
         // The system gives out the port once, and the node keeps it: nobody else uses the address.
-        let address = cluster.address(AddressGroup::Nodes, index.0);
-        let address = std::net::TcpListener::bind(address)?.local_addr()?;
+        let listener = TcpListener::bind(cluster.address(AddressGroup::Nodes, index.0))?;
+        let address = listener.local_addr()?;
+        let inherits_listener = cluster.plan.scenario == Scenario::Operations;
+        let admin_address = cluster.address(AddressGroup::Admin, index.0);
         let node = Rc::new(ProxyNode {
             index,
             address,
@@ -102,6 +120,10 @@
             program: programs.proxy.to_owned(),
             fault_library: programs.fault_library.to_owned(),
             process: RefCell::default(),
+            retiring_process: RefCell::default(),
+            listener: inherits_listener.then_some(listener),
+            admin_address: Cell::new(admin_address),
+            has_stopped: Cell::new(false),
             generation: Cell::new(0),
             killed_generation: Cell::new(0),
             receives_traffic: Cell::new(false),
@@ -125,6 +147,39 @@
         self.killed_generation.get() >= generation
     }
 
+    /// Whether it was signalled to end, or is being replaced.
+    pub fn is_ending(&self) -> bool {
+        self.ending.get()
+    }
+
+    /// Whether it was ended for good.
+    pub fn has_stopped(&self) -> bool {
+        self.has_stopped.get()
+    }
+
+    /// Where operators call it.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address.get()
+    }
+
+    /// The checker of the run.
+    pub fn checker(&self) -> RefMut<'_, InvariantChecker> {
+        self.cluster.checker()
+    }
+
+    /// Calls that have failed so far by which operator state is stored.
+    pub fn state_writes_failed(&self) -> u64 {
+        [SystemCall::Sync, SystemCall::Rename]
+            .map(|call| self.control.faults(call).failure_count())
+            .iter()
+            .sum()
+    }
+
+    /// Connections of its processes that have been made to break so far.
+    pub fn connections_broken(&self) -> u64 {
+        self.control.faults(SystemCall::Receive).failure_count()
+    }
+
     /// Whether the front sends it new requests.
     pub fn receives_traffic(&self) -> bool {
         self.receives_traffic.get()
@@ -170,7 +225,7 @@
         self.generation.set(self.generation.get() + 1);
         self.ending.set(false);
         self.cluster.checker().node_started(self.index);
-        match self.command().spawn() {
+        match self.spawn() {
             Ok(process) => *self.process.borrow_mut() = Some(process),
             Err(error) => return self.violated(&format!("could not be started: {error}")),
         }
@@ -180,6 +235,27 @@
         self.receives_traffic.set(true);
     }
 
+    /// Starts a process, at a new admin address where there is an admin server.
+    fn spawn(&self) -> io::Result<Child> {
+        let mut command = self.command();
+        let Some(listener) = &self.listener else {
+            return command.spawn();
+        };
+        // The system gives out the port once, as for the address for clients.
+        let admin_address = self.cluster.address(AddressGroup::Admin, self.index.0);
+        let admin_address = TcpListener::bind(admin_address)?.local_addr()?;
+        self.admin_address.set(admin_address);
+        command
+            .env("GW_CONSOLE", admin_address.to_string())
+            .env("GW_LISTEN_FD", listener.as_raw_fd().to_string());
+        // Processes of other nodes that start at this moment inherit it too, and do not use it.
+        let listener = SockRef::from(listener);
+        listener.set_cloexec(false)?;
+        let process = command.spawn();
+        listener.set_cloexec(true)?;
+        process
+    }
+
     fn command(&self) -> Command {
         let log = File::options()
             .create(true)
@@ -229,15 +305,17 @@
     }
 
     fn signal(&self, signal: i32) {
-        let id = self.process.borrow().as_ref().and_then(Child::id);
-        let Some(pid) = id.and_then(|id| i32::try_from(id).ok()) else {
-            return;
-        };
-        // SAFETY: The process is a child of this one that was not waited for yet, so that its number
-        // is its own.
-        #[expect(unsafe_code, reason = "signals a process by its number")]
-        unsafe {
-            libc::kill(pid, signal);
+        send_signal(self.process.borrow().as_ref(), signal);
+    }
+
+    /// Sends SIGTERM, in a series with other signals where the plan has operations.
+    async fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+        if self.cluster.plan.scenario == Scenario::Operations {
+            for signal in [libc::SIGHUP, libc::SIGTERM] {
+                sleep(SIGNAL_PAUSE).await;
+                self.signal(signal);
+            }
         }
     }
 
@@ -279,9 +357,9 @@
         if self.ending.replace(true) {
             return;
         }
-        self.signal(libc::SIGTERM);
         let signalled = Instant::now();
-        sleep(FRONT_NOTICE_DELAY).await;
+        self.terminate().await;
+        sleep(FRONT_NOTICE_DELAY.saturating_sub(signalled.elapsed())).await;
         self.receives_traffic.set(false);
         if !self.ended_by(signalled + self.shutdown_timeout()).await {
             self.signal(libc::SIGKILL);
@@ -296,6 +374,10 @@
             return;
         }
         self.killed_generation.set(self.generation.get());
+        if self.listener.is_some() {
+            // Connections would wait for the next process.
+            self.receives_traffic.set(false);
+        }
         self.signal(libc::SIGKILL);
         self.ended_by(Instant::now() + READY_TIMEOUT).await;
         self.receives_traffic.set(false);
@@ -314,6 +396,10 @@
         };
         self.cluster.checker().node_reloaded(self.index);
         self.signal(libc::SIGHUP);
+        if self.cluster.plan.scenario == Scenario::Operations {
+            sleep(SIGNAL_PAUSE).await;
+            self.signal(libc::SIGHUP);
+        }
         sleep(OLD_DISCOVERY_LIFETIME).await;
         if let Some(task) = previous {
             task.abort();
@@ -322,9 +408,11 @@
 
     /// Ends it for good with SIGTERM.
     pub async fn stop(&self) {
-        while self.ending.get() && !self.receives_traffic.get() {
+        let is_changing = || self.ending.get() && !self.receives_traffic.get();
+        while is_changing() || self.retiring_process.borrow().is_some() {
             sleep(POLL_INTERVAL).await;
         }
+        self.has_stopped.set(true);
         self.ending.set(true);
         self.signal(libc::SIGTERM);
         let deadline = Instant::now() + self.shutdown_timeout() + FINAL_STOP_ALLOWANCE;
@@ -334,3 +422,18 @@
         }
     }
 }
+
+fn send_signal(process: Option<&Child>, signal: i32) {
+    let Some(pid) = process
+        .and_then(Child::id)
+        .and_then(|id| i32::try_from(id).ok())
+    else {
+        return;
+    };
+    // SAFETY: The process is a child of this one that was not waited for yet, so that its number is
+    // its own.
+    #[expect(unsafe_code, reason = "signals a process by its number")]
+    unsafe {
+        libc::kill(pid, signal);
+    }
+}
--- a/crates/soak-test/tests/plan.rs
+++ b/crates/soak-test/tests/plan.rs
@@ -1,7 +1,8 @@
 //! A seed runs the same faults in every version, so that a failure can be run again.
 
 use soak_test::plan::{
-    BackendBehavior, BackendIndex, Fault, Idempotency, KeyScope, NodeIndex, Plan, ScheduledFault,
+    BackendBehavior, BackendIndex, Fault, Idempotency, KeyScope, NodeIndex, Plan, Scenario,
+    ScheduledFault,
 };
 use std::time::Duration;
 
@@ -100,3 +101,50 @@
         ]
     );
 }
+
+#[test]
+fn operations_of_a_seed_stay_the_same() {
+    let draw = || Plan::draw_operations(SEED, NODES, TRAFFIC_DURATION);
+    let plan = draw();
+    assert_eq!(plan.scenario, Scenario::Operations);
+    assert_eq!(plan.faults, draw().faults);
+    let is_operation = |fault: &&ScheduledFault| {
+        matches!(
+            fault.fault,
+            Fault::UpgradeNodes(_) | Fault::Maintenance(..) | Fault::FailStateWrites(_)
+        )
+    };
+    let operations: Vec<_> = plan.faults.iter().filter(is_operation).collect();
+    let summary: Vec<String> = operations
+        .iter()
+        .map(|operation| format!("{} {:?}", operation.at.as_millis(), operation.fault))
+        .collect();
+    assert_eq!(
+        summary,
+        [
+            "1318 FailStateWrites([1, 3])",
+            "1469 FailStateWrites([0])",
+            "1518 Maintenance([1, 3], 2)",
+            "1669 Maintenance([0], 4)",
+            "1762 UpgradeNodes([0])",
+            "1788 Maintenance([3, 0], 4)",
+            "4183 FailStateWrites([3, 0])",
+        ]
+    );
+}
+
+/// The faults of a seed are the same in both scenarios.
+#[test]
+fn operations_come_beside_the_faults_of_their_seed() {
+    for seed in 1..50 {
+        let faults = Plan::draw(seed, NODES, TRAFFIC_DURATION).faults;
+        let plan = Plan::draw_operations(seed, NODES, TRAFFIC_DURATION);
+        assert!(faults.iter().all(|fault| plan.faults.contains(fault)));
+        assert!(plan.faults.len() > faults.len());
+        for scheduled in &plan.faults {
+            if let Fault::Maintenance(_, backend) = scheduled.fault {
+                assert!(backend.0 < plan.backends, "seed {seed}");
+            }
+        }
+    }
+}
