--- a/crates/soak-test/src/fault_injector.rs
+++ b/crates/soak-test/src/fault_injector.rs
@@ -70,16 +70,12 @@
             }
             Fault::DrainBackends(backends) => self.take_out(backends, EndpointState::Draining),
             Fault::RemoveBackends(backends) => self.take_out(backends, EndpointState::Removed),
-            Fault::RestartBackends(backends) => {
-                for &backend in backends {
-                    self.cluster.restart_backend(backend);
-                }
-            }
-            Fault::JoinBackends(backends) => {
-                for &backend in backends {
-                    self.cluster.join_backend(backend);
-                }
-            }
+            Fault::RestartBackends(backends) => backends
+                .iter()
+                .for_each(|&backend| self.cluster.restart_backend(backend)),
+            Fault::JoinBackends(backends) => backends
+                .iter()
+                .for_each(|&backend| self.cluster.join_backend(backend)),
             Fault::Misbehave(backends, behavior) => self.misbehave(backends, *behavior).await,
             Fault::DiscoveryDown => self.change_discovery(DiscoveryMode::Down).await,
             Fault::DiscoverySilent => self.change_discovery(DiscoveryMode::Silent).await,
@@ -112,11 +108,7 @@
                 .await;
             }
             Fault::FailStateWrites(nodes) => self.disturb(nodes, fail_state_writes).await,
-            Fault::Crowd(factor) => {
-                self.cluster.crowd_factor.set(*factor);
-                sleep(self.duration).await;
-                self.cluster.crowd_factor.set(1.0);
-            }
+            Fault::Crowd(factor) => self.crowd(*factor).await,
         }
     }
 
@@ -174,6 +166,12 @@
         discovery::set_mode(&self.cluster, DiscoveryMode::PROMPT);
     }
 
+    async fn crowd(&self, factor: f64) {
+        self.cluster.crowd_factor.set(factor);
+        sleep(self.duration).await;
+        self.cluster.crowd_factor.set(1.0);
+    }
+
     async fn raise(&self, flag: &Cell<bool>) {
         flag.set(true);
         sleep(self.duration).await;
