Put maintenance and drains into force at once, and store them then

Seen by callers: requests to a backend for as long as storing its maintenance takes. Its logs were not kept, so that this is likely and not shown.

Cause: OperatorControl applied a change only once it was written and synced.

Fix: what a call forbids is in force from the call on, and is withdrawn if it cannot be stored; the call succeeds once it is durable, as before. What a call allows is in force once it is stored.

Evidence: a new pause before syncs in the fault injection library.

--- a/crates/fault-injection-preload/src/files.rs
+++ b/crates/fault-injection-preload/src/files.rs
@@ -1,5 +1,6 @@
 //! Functions on regular files.
 
+use crate::clock::draw_pause;
 use crate::control::fault_control;
 use crate::failures::{draw_failure, fail, failing_functions};
 use crate::next_symbol;
@@ -7,11 +8,26 @@
 use libc::{c_char, c_int, c_uint, c_void, mode_t, ssize_t};
 
 failing_functions! {
-    Sync: fsync(fd: c_int);
     Sync: fdatasync(fd: c_int);
     Rename: rename(from: *const c_char, to: *const c_char);
 }
 
+/// The C library's function of this name, with pauses before it and failures.
+///
+/// # Safety
+///
+/// As for the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    if let Some(control) = fault_control() {
+        draw_pause(control, &control.before_sync);
+    }
+    match draw_failure(SystemCall::Sync) {
+        Some(number) => fail(number),
+        None => next_symbol::fsync(fd),
+    }
+}
+
 /// The C library's function of this name, with failures on regular files.
 ///
 /// # Safety
--- a/crates/fault-injection/src/control.rs
+++ b/crates/fault-injection/src/control.rs
@@ -16,6 +16,8 @@
     pub after_epoll_wait: Pauses,
     /// Pauses before a TCP connection's sending half is shut down.
     pub before_shutdown: Pauses,
+    /// Pauses of a thread before it syncs a file.
+    pub before_sync: Pauses,
     /// Rate of calls that move only a few bytes of what they could, in millionths.
     short_io_rate: AtomicU64,
     faults: [CallFaults; SystemCall::COUNT],
@@ -65,6 +67,7 @@
         }
         self.after_epoll_wait.clear();
         self.before_shutdown.clear();
+        self.before_sync.clear();
         self.short_io_rate.store(0, Ordering::SeqCst);
     }
 }
--- a/crates/proxy/src/admin/operator_control.rs
+++ b/crates/proxy/src/admin/operator_control.rs
@@ -5,7 +5,7 @@
 use crate::event_log::EventLog;
 use crate::operator_state::store::{OperatorState, OperatorStateStore};
 use crate::shutdown::{ShutdownController, ShutdownPhase};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
@@ -18,6 +18,46 @@
     slow_start_duration: Duration,
     /// Whether the latest refresh has failed.
     refresh_failed: Cell<bool>,
+    /// Restrictions that are being stored: in force at once, since storing may take long.
+    pending: RefCell<Vec<Restriction>>,
+}
+
+/// What an operator's command forbids the node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Restriction {
+    /// To ask for new clients.
+    Drain,
+    /// To send requests to a backend.
+    Maintenance(String),
+}
+
+impl Restriction {
+    fn add_to(&self, state: &mut OperatorState) {
+        match self {
+            Restriction::Drain => state.draining = true,
+            Restriction::Maintenance(backend) => {
+                state.in_maintenance.insert(backend.clone());
+            }
+        }
+    }
+}
+
+/// A restriction in force while it is stored. Dropping it leaves what is stored in force.
+struct PendingRestriction<'a> {
+    control: &'a OperatorControl,
+    restriction: Restriction,
+}
+
+impl Drop for PendingRestriction<'_> {
+    fn drop(&mut self) {
+        let mut pending = self.control.pending.borrow_mut();
+        let position = pending.iter().position(|one| *one == self.restriction);
+        if let Some(position) = position {
+            pending.swap_remove(position);
+        }
+        drop(pending);
+        self.control.apply();
+    }
 }
 
 impl OperatorControl {
@@ -37,6 +77,7 @@
             store,
             slow_start_duration,
             refresh_failed: Cell::new(false),
+            pending: RefCell::default(),
         };
         control.apply();
         control
@@ -89,7 +130,8 @@
         let _ = self.change(forget).await;
     }
 
-    /// Carries out a command. The change is stored and in force when this returns.
+    /// Carries out a command. The change is stored and in force when this returns; what it forbids is
+    /// in force at once.
     pub async fn execute(&self, command: AdminCommand<'_>) -> AdminReply {
         let result = match command {
             AdminCommand::CheckHealth => Ok(self.check_health()),
@@ -120,6 +162,7 @@
         if self.shutdown.phase() > ShutdownPhase::Draining {
             return Ok(AdminReply::DrainRefused);
         }
+        let _pending = draining.then(|| self.restrict(Restriction::Drain));
         self.change(|state| state.draining = draining).await?;
         Ok(if draining {
             AdminReply::DrainStarted
@@ -130,6 +173,8 @@
 
     async fn start_maintenance(&self, backend: &str) -> Result<AdminReply, NotStored> {
         let is_listed = self.endpoint_updates.is_listed(backend);
+        let restriction = || Restriction::Maintenance(backend.to_owned());
+        let _pending = is_listed.then(|| self.restrict(restriction()));
         let start = |state: &mut OperatorState| {
             let is_known = is_listed || state.in_maintenance.contains(backend);
             if is_known {
@@ -172,9 +217,22 @@
         }
     }
 
-    /// Applies the state to this process.
+    /// Puts a restriction into force until the returned value is dropped.
+    fn restrict(&self, restriction: Restriction) -> PendingRestriction<'_> {
+        self.pending.borrow_mut().push(restriction.clone());
+        self.apply();
+        PendingRestriction {
+            control: self,
+            restriction,
+        }
+    }
+
+    /// Applies the state to this process, with the restrictions that are being stored.
     fn apply(&self) {
-        let state = self.store.state();
+        let mut state = self.store.state().clone();
+        for restriction in self.pending.borrow().iter() {
+            restriction.add_to(&mut state);
+        }
         self.endpoint_updates.apply_operator_state(&state);
         self.shutdown.set_draining(state.draining);
     }
--- a/crates/proxy/tests/operator_state.rs
+++ b/crates/proxy/tests/operator_state.rs
@@ -71,6 +71,70 @@
     }
 }
 
+/// Sends this many requests and returns how many of them each backend got.
+async fn requests_at(
+    proxy: &ProxyProcess,
+    [a, b]: [&ScriptedServer; 2],
+    count: usize,
+) -> [usize; 2] {
+    let mut requests = [0; 2];
+    let mut client = proxy.connect().await;
+    for _ in 0..count {
+        client.send("safe", "20000m").await;
+        let (mut connection, backend) = tokio::select! {
+            (connection, _) = a.accept_request() => (connection, 0),
+            (connection, _) = b.accept_request() => (connection, 1),
+        };
+        requests[backend] += 1;
+        connection
+            .respond("200 OK", "Connection: close\r\n", "")
+            .await;
+        client.expect_status(200).await;
+    }
+    requests
+}
+
+/// A second after the call at the latest the backend has to be left alone, whatever storing takes.
+#[tokio::test]
+async fn maintenance_is_in_force_while_a_slow_file_system_stores_it() {
+    const STALL: Duration = Duration::from_secs(3);
+    let (a, b) = (ScriptedServer::new().await, ScriptedServer::new().await);
+    let node_state = StatefulNode::new("slow", &[("a", &a), ("b", &b)]).await;
+    let faults = FaultInjection::new();
+    let (proxy, _watch) = node_state.start(&faults).await;
+    faults.control.before_sync.pause_next(1, STALL);
+    let call = proxy.admin_call("POST", "/backends/a/maint");
+    let requests = async {
+        sleep(Duration::from_secs(1)).await;
+        requests_at(&proxy, [&a, &b], 16).await
+    };
+    let (status, requests) = tokio::join!(call, requests);
+    assert_eq!(status, 200);
+    assert_eq!(requests, [0, 16]);
+    assert_eq!(node_state.in_maintenance(), ["a"]);
+    // It is used again only once that is stored.
+    faults.control.before_sync.pause_next(1, STALL);
+    let call = proxy.admin_call("POST", "/backends/a/ready");
+    let requests = requests_at(&proxy, [&a, &b], 16);
+    let (status, requests) = tokio::join!(call, requests);
+    assert_eq!(status, 200);
+    assert_eq!(requests, [0, 16]);
+}
+
+/// A call that fails has changed nothing, although the backend was left alone meanwhile.
+#[tokio::test]
+async fn maintenance_that_cannot_be_stored_ends_with_the_call() {
+    let (a, b) = (ScriptedServer::new().await, ScriptedServer::new().await);
+    let node_state = StatefulNode::new("not-stored", &[("a", &a), ("b", &b)]).await;
+    let faults = FaultInjection::new();
+    let (proxy, _watch) = node_state.start(&faults).await;
+    let syncing = faults.control.faults(SystemCall::Sync);
+    syncing.fail_next(1, &[libc::EIO]);
+    assert_eq!(proxy.admin_call("POST", "/backends/a/maint").await, 500);
+    let requests = requests_at(&proxy, [&a, &b], 40).await;
+    assert!(requests[0] > 0, "{requests:?}");
+}
+
 /// Whichever step of the write fails, the call fails and the file keeps its content.
 #[tokio::test]
 async fn admin_call_succeeds_only_once_its_state_is_durable() {
