--- a/crates/simulator-adapter/src/wire/events.rs
+++ b/crates/simulator-adapter/src/wire/events.rs
@@ -2,6 +2,10 @@
 
 use super::codes::{event, WORK_GIVEN};
 use super::errors::{WireError, WireField};
+use super::event_layout::{
+    arrival, attempt_ended, endpoint, endpoint_list, header, init, load_probe_ended, load_report,
+    peer_message, record, request, response_started, switch_to, timer_fired,
+};
 use super::field_reader::FieldReader;
 use super::{
     InstanceId, ENDPOINT_BYTES, EVENT_HEADER_BYTES, EVENT_RECORD_BYTES, MAX_FRAME_BYTES,
@@ -53,8 +57,8 @@
 ///
 /// [`WireError::ImpossibleLength`] where it is shorter than the header or longer than
 /// [`MAX_FRAME_BYTES`].
-pub fn frame_length(header: &[u8; EVENT_HEADER_BYTES]) -> Result<usize, WireError> {
-    let length = FieldReader(header).u32(0) as usize;
+pub fn frame_length(bytes: &[u8; EVENT_HEADER_BYTES]) -> Result<usize, WireError> {
+    let length = FieldReader(bytes).u32(header::FRAME_LENGTH) as usize;
     if (EVENT_HEADER_BYTES..=MAX_FRAME_BYTES).contains(&length) {
         Ok(length)
     } else {
@@ -69,11 +73,13 @@
     ///
     /// A frame that is not as long as its header says, or too short for its records.
     pub fn parse(frame: &'a [u8]) -> Result<Self, WireError> {
-        let header = FieldReader(frame);
-        if frame.len() < EVENT_HEADER_BYTES || header.u32(0) as usize != frame.len() {
+        let fields = FieldReader(frame);
+        if frame.len() < EVENT_HEADER_BYTES
+            || fields.u32(header::FRAME_LENGTH) as usize != frame.len()
+        {
             return Err(WireError::ImpossibleLength(frame.len()));
         }
-        let count = header.u32(12) as usize;
+        let count = fields.u32(header::RECORD_COUNT) as usize;
         let body = &frame[EVENT_HEADER_BYTES..];
         if count > body.len() / EVENT_RECORD_BYTES {
             return Err(WireError::RecordsExceedFrame {
@@ -83,7 +89,7 @@
         }
         let (records, tail) = body.split_at(count * EVENT_RECORD_BYTES);
         Ok(EventFrame {
-            now: Time(header.u64(4)),
+            now: Time(fields.u64(header::NOW)),
             count,
             records,
             tail,
@@ -112,18 +118,20 @@
         load_report_fields: &[LoadReportField],
     ) -> Result<EventRecord<'a>, WireError> {
         let start = index * EVENT_RECORD_BYTES;
-        let record = RecordReader {
+        let reader = RecordReader {
             index,
             fields: FieldReader(&self.records[start..start + EVENT_RECORD_BYTES]),
             tail: self.tail,
             load_report_fields,
         };
-        match record.fields.u8(0) {
-            event::SWITCH_TO => Ok(EventRecord::SwitchTo(InstanceId(record.fields.u32(1)))),
-            event::INIT => record.init(),
+        match reader.fields.u8(record::CODE) {
+            event::SWITCH_TO => Ok(EventRecord::SwitchTo(InstanceId(
+                reader.fields.u32(switch_to::INSTANCE),
+            ))),
+            event::INIT => reader.init(),
             event::POWER_OFF => Ok(EventRecord::PowerOff),
-            event::PEER_MESSAGE => record.peer_message(),
-            code => record.balancer_event(code).map(EventRecord::Event),
+            event::PEER_MESSAGE => reader.peer_message(),
+            code => reader.balancer_event(code).map(EventRecord::Event),
         }
     }
 }
@@ -139,13 +147,13 @@
 impl<'a> RecordReader<'a, '_> {
     fn init(&self) -> Result<EventRecord<'a>, WireError> {
         Ok(EventRecord::Init {
-            seed: self.fields.u64(1),
-            settings: self.tail_items(WireField::Settings, 9, 1)?,
+            seed: self.fields.u64(init::SEED),
+            settings: self.tail_items(WireField::Settings, init::SETTINGS, 1)?,
         })
     }
 
     fn peer_message(&self) -> Result<EventRecord<'a>, WireError> {
-        self.tail_items(WireField::PeerMessage, 5, 1)?;
+        self.tail_items(WireField::PeerMessage, peer_message::MESSAGE, 1)?;
         Ok(EventRecord::PeerMessage)
     }
 
@@ -155,15 +163,15 @@
             event::REQUEST_ARRIVED => Ok(Event::RequestArrived(self.request_arrival())),
             event::RESPONSE_STARTED => Ok(Event::ResponseStarted {
                 request: self.request(),
-                attempt: u32::from(self.fields.u8(9)),
-                latency: self.fields.nanoseconds(14),
+                attempt: u32::from(self.fields.u8(response_started::ATTEMPT)),
+                latency: self.fields.nanoseconds(response_started::LATENCY),
             }),
             event::ATTEMPT_ENDED => self.attempt_result().map(Event::AttemptEnded),
             event::CLIENT_DISCONNECTED => Ok(Event::ClientDisconnected {
                 request: self.request(),
             }),
             event::TIMER_FIRED => Ok(Event::TimerFired {
-                timer: TimerId(self.fields.u32(1)),
+                timer: TimerId(self.fields.u32(timer_fired::TIMER)),
             }),
             event::LOAD_PROBE_ENDED => self.load_probe_result().map(Event::LoadProbeEnded),
             code => Err(WireError::UnknownEvent {
@@ -174,17 +182,17 @@
     }
 
     fn request(&self) -> RequestId {
-        RequestId(self.fields.u64(1))
+        RequestId(self.fields.u64(request::ID))
     }
 
     fn request_arrival(&self) -> RequestArrival {
-        let work_given = self.fields.u8(36) & WORK_GIVEN != 0;
+        let work_given = self.fields.u8(arrival::FLAGS) & WORK_GIVEN != 0;
         RequestArrival {
             request: self.request(),
-            tenant: TenantId(self.fields.u16(9)),
-            class: ClassId(self.fields.u8(11)),
-            remaining: self.fields.nanoseconds(20),
-            work: work_given.then(|| self.fields.nanoseconds(28)),
+            tenant: TenantId(self.fields.u16(arrival::TENANT)),
+            class: ClassId(self.fields.u8(arrival::CLASS)),
+            remaining: self.fields.nanoseconds(arrival::REMAINING),
+            work: work_given.then(|| self.fields.nanoseconds(arrival::WORK)),
             body_pending: false,
         }
     }
@@ -192,21 +200,21 @@
     fn attempt_result(&self) -> Result<AttemptResult, WireError> {
         Ok(AttemptResult {
             request: self.request(),
-            attempt: u32::from(self.fields.u8(9)),
-            backend: BackendId(self.fields.u32(10)),
-            outcome: self.outcome(14)?,
-            latency: self.fields.nanoseconds(16),
-            request_closed: self.fields.u8(24) != 0,
-            load_report: self.load_report(25)?,
+            attempt: u32::from(self.fields.u8(attempt_ended::ATTEMPT)),
+            backend: BackendId(self.fields.u32(attempt_ended::BACKEND)),
+            outcome: self.outcome(attempt_ended::OUTCOME)?,
+            latency: self.fields.nanoseconds(attempt_ended::LATENCY),
+            request_closed: self.fields.u8(attempt_ended::REQUEST_CLOSED) != 0,
+            load_report: self.load_report(attempt_ended::LOAD_REPORT)?,
         })
     }
 
     fn load_probe_result(&self) -> Result<LoadProbeResult, WireError> {
         Ok(LoadProbeResult {
-            latency: self.fields.nanoseconds(1),
-            backend: BackendId(self.fields.u32(9)),
-            outcome: self.outcome(13)?,
-            load_report: self.load_report(15)?,
+            latency: self.fields.nanoseconds(load_probe_ended::LATENCY),
+            backend: BackendId(self.fields.u32(load_probe_ended::BACKEND)),
+            outcome: self.outcome(load_probe_ended::OUTCOME)?,
+            load_report: self.load_report(load_probe_ended::LOAD_REPORT)?,
         })
     }
 
@@ -226,23 +234,23 @@
 
     fn load_report(&self, offset: usize) -> Result<Option<LoadReport>, WireError> {
         let report = FieldReader(self.fields.slice(offset, LOAD_REPORT_BYTES));
-        let count = usize::from(report.u8(0));
+        let count = usize::from(report.u8(load_report::COUNT));
         if count == 0 {
             return Ok(None);
         }
         if count > MAX_LOAD_REPORT_FIELDS || count > self.load_report_fields.len() {
-            return Err(self.unknown_value(WireField::LoadReport, report.u8(0)));
+            return Err(self.unknown_value(WireField::LoadReport, report.u8(load_report::COUNT)));
         }
-        let mut load_report = LoadReport::default();
+        let mut decoded = LoadReport::default();
         for (position, field) in self.load_report_fields[..count].iter().enumerate() {
-            let value = report.f32(1 + position * size_of::<f32>());
-            field.set(&mut load_report, value);
+            let value = report.f32(load_report::FIGURES + position * size_of::<f32>());
+            field.set(&mut decoded, value);
         }
-        Ok(Some(load_report))
+        Ok(Some(decoded))
     }
 
     fn endpoint_list(&self) -> Result<Event, WireError> {
-        let update = match self.fields.u8(1) {
+        let update = match self.fields.u8(endpoint_list::UPDATE) {
             0 => ListUpdate::Cached,
             1 => ListUpdate::Failed,
             2 => ListUpdate::Delta,
@@ -250,7 +258,7 @@
             unknown => return Err(self.unknown_value(WireField::ListUpdate, unknown)),
         };
         let endpoints = self
-            .tail_items(WireField::Endpoints, 10, ENDPOINT_BYTES)?
+            .tail_items(WireField::Endpoints, endpoint_list::ENTRIES, ENDPOINT_BYTES)?
             .chunks_exact(ENDPOINT_BYTES)
             .map(|entry| self.endpoint(FieldReader(entry)))
             .collect::<Result<_, _>>()?;
@@ -258,21 +266,21 @@
     }
 
     fn endpoint(&self, entry: FieldReader<'_>) -> Result<Endpoint, WireError> {
-        let state = match entry.u8(8) {
+        let state = match entry.u8(endpoint::STATE) {
             0 => EndpointState::Removed,
             1 => EndpointState::Active,
             2 => EndpointState::Draining,
             unknown => return Err(self.unknown_value(WireField::EndpointState, unknown)),
         };
-        let started_at = entry.u64(13);
+        let started_at = entry.u64(endpoint::STARTED_AT);
         let started_at = (started_at > 0).then_some(Time(started_at));
         Ok(Endpoint {
-            backend: BackendId(entry.u32(0)),
-            zone: ZoneId(entry.u8(4)),
-            machine_type: MachineTypeId(entry.u8(5)),
-            cell: CellId(entry.u16(6)),
+            backend: BackendId(entry.u32(endpoint::BACKEND)),
+            zone: ZoneId(entry.u8(endpoint::ZONE)),
+            machine_type: MachineTypeId(entry.u8(endpoint::MACHINE_TYPE)),
+            cell: CellId(entry.u16(endpoint::CELL)),
             state,
-            weight: entry.f32(9),
+            weight: entry.f32(endpoint::WEIGHT),
             started_at,
             likely_started_at: started_at,
         })
--- a/crates/simulator-adapter/src/wire/mod.rs
+++ b/crates/simulator-adapter/src/wire/mod.rs
@@ -6,6 +6,7 @@
 mod actions;
 mod codes;
 mod errors;
+mod event_layout;
 mod events;
 mod field_reader;
 
