--- a/crates/balancer/src/admission.rs
+++ b/crates/balancer/src/admission.rs
@@ -5,6 +5,7 @@
 //! less the further it exceeds its quota.
 
 use crate::ids::{ClassId, TenantId};
+use crate::numeric::MIN_DIVISOR;
 use crate::rate::Rate;
 use crate::settings::{LoadReporting, RequestClass, Settings};
 use crate::share_allocation::ClassPlacement;
@@ -37,8 +38,6 @@
 const MIN_SHED_FRACTION: f64 = 1e-3;
 /// Relative width of the bracket around a threshold at which the search for it ends.
 const THRESHOLD_TOLERANCE: f64 = 1e-3;
-/// Smallest divisor, against divisions by zero.
-const MIN_DIVISOR: f64 = 1e-9;
 
 /// The priority weight of a recent arrival.
 struct ArrivalWeight {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -101,6 +101,7 @@
 mod ids;
 mod load_probing;
 mod load_report;
+mod numeric;
 mod pricing;
 mod random;
 mod rate;
--- a/crates/balancer/src/share_allocation.rs
+++ b/crates/balancer/src/share_allocation.rs
@@ -6,6 +6,7 @@
 use crate::estimators::MeanWork;
 use crate::fleet::Fleet;
 use crate::ids::ClassId;
+use crate::numeric::MIN_DIVISOR;
 use crate::pricing::PRICE_INTERVAL;
 use crate::rate::Rate;
 use crate::settings::{LoadReporting, Settings};
@@ -30,8 +31,6 @@
 const INITIAL_LAMBDA: f64 = 0.5;
 /// Weight of a request in its class's mean work.
 const MEAN_WORK_GAIN: f64 = 1.0 / 64.0;
-/// Smallest divisor, against divisions by zero.
-const MIN_DIVISOR: f64 = 1e-9;
 /// Time constant, in seconds, of the rates of arrivals.
 const ARRIVAL_WINDOW: f64 = 1.0;
 /// Time constant, in seconds, of the rate of attempts that decides on the number of backends.
