Test the rest of a head that crosses an eviction

Half heads fill the slots of a process; it is held up for a second in the moment in which it shuts one of them down to make room, and the rest of all heads arrives then. Each request is answered, or its connection is reset over unread bytes so that the client sends it again, and one at least has crossed.

With a close that always reads what is left it fails.

--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -283,3 +283,59 @@
     connection.respond("200 OK", "", "").await;
     client.expect_status(200).await;
 }
+
+/// The rest of each head arrives in the moment in which a connection is closed to make room: a request
+/// is answered, or its connection is reset over unread bytes, so that the client sends it again.
+#[tokio::test]
+async fn rest_of_a_head_that_crosses_an_eviction_is_not_lost() {
+    /// More than the process has slots.
+    const CLIENTS: usize = 60;
+    /// The whole head, of which half is sent first.
+    const HEAD: &str =
+        "GET /safe HTTP/1.1\r\nHost: a\r\nX-Request-ID: r\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n\r\n";
+    let faults = FaultInjection::new();
+    let backend = ScriptedServer::new().await;
+    let discovery = ScriptedServer::new().await;
+    let (proxy, _watch) = ProxyBuilder::new(discovery.address())
+        .descriptors(64)
+        .faults(&faults)
+        .start_ready(&discovery, &[endpoint("s", backend.address(), "active")])
+        .await;
+    let serving = tokio::spawn(async move {
+        loop {
+            let mut connection = backend.accept_when_it_comes().await;
+            tokio::spawn(async move {
+                while connection.read().await.is_some() {
+                    connection.respond("200 OK", "", "").await;
+                }
+            });
+        }
+    });
+    // The connections by which the test has asked for readiness are closed by then.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let closing = &faults.control.before_shutdown;
+    closing.pause_next(1, Duration::from_secs(1));
+    let mut clients = Vec::new();
+    while closing.pause_count() == 0 {
+        assert!(clients.len() < CLIENTS, "no connection is evicted");
+        let mut client = proxy.connect().await;
+        client.write(&HEAD[..HEAD.len() / 2]).await;
+        clients.push(client);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for (number, client) in clients.iter_mut().enumerate() {
+        let rest = HEAD[HEAD.len() / 2..].replace("r\r\n", &format!("r{number}\r\n"));
+        client.write_until_closed(&rest).await;
+    }
+    let mut reset = 0;
+    for client in &mut clients {
+        if let Some(answer) = client.read().await {
+            assert!([200, 503].contains(&answer.status()), "{}", answer.start);
+        } else {
+            assert!(client.closed_over_unread_bytes().await, "read, and lost");
+            reset += 1;
+        }
+    }
+    assert!(reset > 0, "nothing crossed the eviction");
+    serving.abort();
+}
