Hand over only to a peer process that has not been told to end

Cause: on SIGTERM a process stops accepting at once where a peer process runs. The new process of an upgrade got SIGTERM while the old one was still finishing its requests, and handed over to that one; neither accepted.

Fix: each process locks a second file until it is told to end. Handing over takes a peer that holds it; limits on connections go by presence as before. The stored state is as it was. Beside a process of an earlier version, which locks no such file, both accept for half a second.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -237,8 +237,9 @@
             server.serve(clients).await;
         });
         termination.recv().await;
+        self.operator_state.store.stop_serving();
         let handing_over =
-            self.inherits_listener && self.operator_state.store.peer_process_running();
+            self.inherits_listener && self.operator_state.store.peer_process_serving();
         self.log
             .log(format_args!("shutting down handing_over={handing_over}"));
         self.shutdown
--- a/crates/proxy/src/operator_state/file_lock.rs
+++ b/crates/proxy/src/operator_state/file_lock.rs
@@ -16,6 +16,10 @@
 /// them.
 const PRESENCE_FILES: [&str; 2] = ["birchswitch.0", "birchswitch.1"];
 
+/// Files of which the processes of a node lock one each until they are told to end, by their position
+/// among [`PRESENCE_FILES`]. Earlier versions lock none.
+const SERVING_FILES: [&str; 2] = ["birchswitch.0.serving", "birchswitch.1.serving"];
+
 /// An exclusive lock on a file. Dropping it releases the lock.
 #[derive(Debug)]
 pub struct FileLock {
@@ -79,11 +83,15 @@
         .map_err(LockError::Io)
 }
 
-/// The lock by which a peer process of the same node detects that this process runs.
+/// The locks by which a peer process of the same node detects that this process runs, and that it has
+/// not been told to end.
 #[derive(Default)]
 pub struct Presence {
     /// The index among [`PRESENCE_FILES`] and the lock on that file, once one was acquired.
     own: Option<(usize, FileLock)>,
+    /// The lock on the file of that index among [`SERVING_FILES`].
+    serving: Option<FileLock>,
+    has_stopped_serving: bool,
 }
 
 impl Presence {
@@ -101,7 +109,31 @@
         let Some((own_index, _)) = self.own else {
             return true;
         };
+        // The peer process may be looking at the file at this moment: then it is tried again.
+        if self.serving.is_none() && !self.has_stopped_serving {
+            self.serving = try_lock(&folder.join(SERVING_FILES[own_index])).ok();
+        }
         // A lock that can be acquired is released at once.
         (0..paths.len()).any(|index| index != own_index && try_lock(&paths[index]).is_err())
     }
+
+    /// Whether another process of the node runs that has not been told to end. Of an earlier version
+    /// that is never known.
+    pub fn peer_process_serving(&mut self, folder: &Path) -> bool {
+        if !self.peer_process_running(folder) {
+            return false;
+        }
+        let Some((own_index, _)) = self.own else {
+            return true;
+        };
+        (0..SERVING_FILES.len()).any(|index| {
+            index != own_index && try_lock(&folder.join(SERVING_FILES[index])).is_err()
+        })
+    }
+
+    /// Shows the peer process that this one has been told to end.
+    pub fn stop_serving(&mut self) {
+        self.has_stopped_serving = true;
+        self.serving = None;
+    }
 }
--- a/crates/proxy/src/operator_state/store.rs
+++ b/crates/proxy/src/operator_state/store.rs
@@ -269,6 +269,19 @@
         })
     }
 
+    /// Whether another process of this node runs and has not been told to end, so that it accepts the
+    /// connections to a shared listener.
+    pub fn peer_process_serving(&self) -> bool {
+        self.folder
+            .as_ref()
+            .is_some_and(|folder| self.presence.borrow_mut().peer_process_serving(folder))
+    }
+
+    /// Shows other processes of this node that this one has been told to end.
+    pub fn stop_serving(&self) {
+        self.presence.borrow_mut().stop_serving();
+    }
+
     /// Whether another process of this node runs. Shows this process to the other for as long as it
     /// runs.
     pub fn peer_process_running(&self) -> bool {
--- a/crates/proxy/tests/listener_inheritance.rs
+++ b/crates/proxy/tests/listener_inheritance.rs
@@ -114,6 +114,31 @@
     assert_eq!(new.admin_call("GET", "/healthcheck").await, 200);
 }
 
+/// Two processes are told to end, one soon after the other: the second has nobody to hand over to.
+#[tokio::test]
+async fn process_beside_one_that_ends_accepts_connections_during_shutdown() {
+    let (discovery, backend) = (ScriptedServer::new().await, ScriptedServer::new().await);
+    let shared = SharedNode::new("both-end", &discovery);
+    let members = [endpoint("s", backend.address(), "active")];
+    let (mut old, _old_watch) = shared.start(&discovery, &members).await;
+    let mut busy = old.connect().await;
+    busy.send("safe", "20000m").await;
+    let (mut under_way, _) = backend.accept_request().await;
+    let (mut new, _new_watch) = shared.start(&discovery, &members).await;
+    old.wait_for_log("peer_process_running=true").await;
+    old.signal("TERM").await;
+    old.wait_for_log("shutting down handing_over=true").await;
+    new.signal("TERM").await;
+    new.wait_for_log("shutting down handing_over=false").await;
+    // Accepted although the process has been told to end, as it would be alone.
+    let mut client = new.connect().await;
+    assert_eq!(served(&mut client, &backend).await.status(), 200);
+    under_way.respond("200 OK", "", "").await;
+    busy.expect_status(200).await;
+    assert!(old.wait_for_exit().await.success());
+    assert!(new.wait_for_exit().await.success());
+}
+
 /// Although it has inherited its listener.
 #[tokio::test]
 async fn process_without_a_peer_accepts_connections_during_shutdown() {
