--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,5 @@
-"""Requests of an unsafe class whose bodies are a little longer than 64 KiB, while some connections
-to backends are reset under requests that run."""
+"""Requests whose bodies are a little longer than 64 KiB, while some connections to backends are reset
+under requests that run. One class is keyed by cell, as montreal-main's, the other is unsafe to repeat."""
 
 import os
 import pathlib
@@ -39,16 +39,21 @@
         return backend.serve_ok(connection, headers, body)
 
     backends = [rig.Backend(f"s-{i}", record, answer) for i in range(4)]
-    discovery = rig.Discovery([rig.member(b.name, b.port) for b in backends])
-    node = rig.Node(discovery, rig.settings(effect="single_shot"))
+    cell = {b.name: 1 + index // 2 for index, b in enumerate(backends)}
+    discovery = rig.Discovery([rig.member(b.name, b.port, cell=cell[b.name]) for b in backends])
+    settings = rig.settings()
+    keyed = settings["profiles"][0]
+    settings["profiles"].append(dict(keyed, name="post-once", effect="single_shot"))
+    node = rig.Node(discovery, settings)
     answers = {}
 
-    def send(name, length):
+    def send(name, path, length):
         try:
             with socket.create_connection(("127.0.0.1", node.port), 5) as connection:
                 connection.settimeout(TIMEOUT_MS / 1000 + 5)
                 record.write(f"sent     {name} body={length}")
-                connection.sendall(rig.request_head(name, TIMEOUT_MS, length) + b"n" * length)
+                key = f"k-{name}" if path == "/post-notice" else None
+                connection.sendall(rig.request_head(name, TIMEOUT_MS, length, key, path) + b"n" * length)
                 head = rig.read_head(connection.makefile("rb"))
                 answers[name] = head[0].split()[1] if head else "closed"
         except OSError as error:
@@ -59,7 +64,8 @@
         threads = []
         for index in range(REQUESTS):
             length = (1000, 66000 + 50 * index)[index % 2]
-            threads.append(threading.Thread(target=send, args=(f"q{index}-{length}", length)))
+            path = ("/post-notice", "/post-once")[index // 2 % 2]
+            threads.append(threading.Thread(target=send, args=(f"{path[6:]}-{index}", path, length)))
             threads[-1].start()
             time.sleep(0.1)
         for thread in threads:
@@ -68,14 +74,19 @@
     finally:
         node.stop()
 
-    twice = sorted(name for name, where in runs.items() if len(where) > 1)
+    # Unsafe: at most one run. Keyed by cell: after a run, further ones in that cell only.
+    twice = sorted(name for name, where in runs.items() if name.startswith("once") and len(where) > 1)
+    cells = sorted(name for name, where in runs.items()
+                   if name.startswith("notice") and len({cell[one] for one in where}) > 1)
     refused = sorted(name for name in runs if answers.get(name) in ("429", "503"))
     served = sum(answer == "200" for answer in answers.values())
-    record.write(f"total    sent={REQUESTS} served={served} run-more-than-once={twice} refused-though-run={refused}")
-    print(f"sent {REQUESTS}, served {served}, run more than once {len(twice)}, refused though run {len(refused)}")
+    record.write(f"total    sent={REQUESTS} served={served} unsafe-run-again={twice} "
+                 f"keyed-run-in-two-cells={cells} refused-though-run={refused}")
+    print(f"sent {REQUESTS}, served {served}, unsafe run again {len(twice)}, "
+          f"keyed run in two cells {len(cells)}, refused though run {len(refused)}")
     if served == 0:
         return 2
-    return 1 if twice or refused else 0
+    return 1 if twice or cells or refused else 0
 
 
 rig.run(main)
