--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,10 +14,10 @@
 import rig
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-REQUESTS = 120
+REQUESTS = 200
 TIMEOUT_MS = 2500
-RESET_SHARE = 0.25  # of the requests that a backend runs
-WORK_S = 0.03
+RESET_SHARE = 0.1  # of the requests that a backend runs
+WORK_S = 0.065
 
 
 def main():
@@ -32,14 +32,16 @@
             runs.setdefault(name, []).append(backend.name)
             resets = TROUBLE and chance.random() < RESET_SHARE
         record.write(f"run      {name} at {backend.name} body={len(body)}" + (" then reset" if resets else ""))
-        time.sleep(WORK_S)
+        backend.work(WORK_S)
         if resets:
             rig.reset(connection)
             return False
-        return backend.serve_ok(connection, headers, body)
+        receipt = f"receipt of {name}".encode()
+        connection.sendall(backend.head(len(receipt)) + receipt)
+        return True
 
-    backends = [rig.Backend(f"s-{i}", record, answer) for i in range(4)]
-    cell = {b.name: 1 + index // 2 for index, b in enumerate(backends)}
+    backends = [rig.Backend(f"s-{i}", record, answer) for i in range(6)]
+    cell = {b.name: 1 + index // 3 for index, b in enumerate(backends)}
     discovery = rig.Discovery([rig.member(b.name, b.port, cell=cell[b.name]) for b in backends])
     settings = rig.settings()
     keyed = settings["profiles"][0]
@@ -63,11 +65,11 @@
     try:
         threads = []
         for index in range(REQUESTS):
-            length = (1000, 66000 + 50 * index)[index % 2]
+            length = (1000, 66000 + 30 * index)[index % 2]
             path = ("/post-notice", "/post-once")[index // 2 % 2]
             threads.append(threading.Thread(target=send, args=(f"{path[6:]}-{index}", path, length)))
             threads[-1].start()
-            time.sleep(0.1)
+            time.sleep(0.08)
         for thread in threads:
             thread.join()
         time.sleep(0.5)
@@ -85,8 +87,8 @@
     print(f"sent {REQUESTS}, served {served}, unsafe run again {len(twice)}, "
           f"keyed run in two cells {len(cells)}, refused though run {len(refused)}")
     if served == 0:
-        return 2
-    return 1 if twice or cells or refused else 0
+        return None
+    return bool(twice or cells or refused)
 
 
 rig.run(main)
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import select
 import shutil
 import signal
 import socket
@@ -15,6 +16,23 @@
 import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+TIME_LIMIT_S = 110
+# Exit codes of a case; run.sh makes 0 and 1 of the first two, and 2 of any other.
+HELD, BROKEN, COULD_NOT_RUN = 10, 11, 12
+
+# Starts `run` as the deploy page says, in a process that the system ends with this one, however that ends.
+START = """
+import ctypes, os, signal, sys
+ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+if os.getppid() != int(sys.argv[1]):
+    sys.exit(2)
+signal.signal(signal.SIGPIPE, signal.SIG_DFL)
+os.execv("/bin/sh", ["/bin/sh", "-c", sys.argv[2]])
+"""
+
+nodes = []
+CORES = 2  # of a backend, as on montreal-main
+IDLE_S = 15  # limits.conn_idle_ns
 
 
 def free_port():
@@ -29,7 +47,7 @@
         key, _, value = line.partition("=")
         if key.strip() == "run":
             return value.strip().split('"')[1]
-    raise SystemExit(2)
+    raise RuntimeError("the deploy file has no `run`")
 
 
 def settings(effect="guarded", key_scope="cell", deadline_ms=2500, promise_ms=600, **changes):
@@ -46,11 +64,11 @@
                       "deadline_ns": deadline_ms * ms, "promise_ns": promise_ms * ms,
                       "repeat_window_ns": 2500 * ms, "importance": 1.0, "late_worth": 0.0,
                       "streaming": False}],
-        "registry_mode": "automatic", "report": {"fields": ["utilization", "backlog"], "how": "piggyback"},
+        "registry_mode": "subscribe", "report": {"fields": ["utilization", "backlog"], "how": "piggyback"},
         "rules": {"answer_slack_ns": 20 * ms, "ask_every_ns": 10000 * ms, "cold_from": 0.3,
                   "drain_grace_ns": 400 * ms, "fall_multiple": 3.0, "overload_for_ns": 1000 * ms,
                   "warm_up_ns": 8800 * ms},
-        "tenants": [{"name": "ville-riviere", "quota_per_s": 300.0, "share": 1.0}],
+        "tenants": [{"name": "ville-riviere", "quota_per_s": 400.0, "share": 1.0}],
         "tick_ns": 5 * ms, "tier": 0, "tiers": ["post-web"], "weights": "rough", "worth_by": "request",
     }
     whole.update(changes)
@@ -111,7 +129,9 @@
 class Node:
     """One node; its files are in a temporary folder of its own."""
 
-    def __init__(self, discovery, settings_, memory_mb=48, sockets=384, members=None, console=False):
+    def __init__(self, discovery, settings_, memory_mb=48, sockets=384):
+        nodes.append(self)
+        self.process = None
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.port = free_port()
         tmpdir = self.folder / "tmp"
@@ -124,11 +144,8 @@
         path.write_text(json.dumps(config))
         env = dict(os.environ, GW_NAME="n0", GW_LISTEN=f"127.0.0.1:{self.port}",
                    GW_DISCOVERY=f"127.0.0.1:{discovery.port}", GW_CONFIG=str(path), TMPDIR=str(tmpdir))
-        if console:
-            self.console = free_port()
-            env["GW_CONSOLE"] = f"127.0.0.1:{self.console}"
         self.log = open(self.folder / "log", "wb")
-        self.process = subprocess.Popen(["/bin/sh", "-c", run_command()], cwd=ROOT, env=env,
+        self.process = subprocess.Popen([sys.executable, "-c", START, str(os.getpid()), run_command()], cwd=ROOT, env=env,
                                         stdout=self.log, stderr=self.log)
         self.wait_ready()
 
@@ -136,7 +153,7 @@
         end = time.monotonic() + 30
         while time.monotonic() < end:
             if self.process.poll() is not None:
-                raise SystemExit(2)
+                raise RuntimeError("the node has ended: " + self.text())
             try:
                 with socket.create_connection(("127.0.0.1", self.port), 1) as s:
                     s.sendall(b"GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
@@ -146,13 +163,13 @@
             except OSError:
                 pass
             time.sleep(0.1)
-        raise SystemExit(2)
+        raise RuntimeError("the node is not ready")
 
     def text(self):
         return (self.folder / "log").read_text(errors="replace")
 
     def stop(self):
-        if self.process.poll() is None:
+        if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -211,12 +228,14 @@
     """A backend: runs a request when its last byte has arrived.
 
     `answer(backend, connection, headers, body)` is called for each request that has arrived. It sends
-    the answer and returns whether the connection stays open; by default it answers at once.
+    the answer and returns whether the connection stays open. A request with no id gets 404, and a connection
+    that has been idle for the time in the settings is closed, as the protocol page says.
     """
 
     def __init__(self, name, record, answer=None):
         self.name, self.record = name, record
-        self.answer = answer or Backend.serve_ok
+        self.answer = answer
+        self.working = 0
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -230,11 +249,17 @@
     def serve(self, connection):
         reader = connection.makefile("rb")
         try:
-            while head := read_head(reader):
-                first, headers = head
+            while select.select([connection], [], [], IDLE_S)[0]:
+                head = read_head(reader)
+                if head is None:
+                    return
+                headers = head[1]
                 body = read_body(reader, headers)
                 if body is None:
                     return
+                if "x-request-id" not in headers:
+                    connection.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+                    continue
                 if not self.answer(self, connection, headers, body):
                     return
         except OSError:
@@ -243,10 +268,15 @@
             reader.close()
             connection.close()
 
-    def serve_ok(self, connection, headers, body):
-        text = f"{self.name} served {headers['x-request-id']}".encode()
-        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
-        return True
+    def work(self, seconds):
+        self.working += 1
+        time.sleep(seconds)
+        self.working -= 1
+
+    def head(self, length):
+        """The head of a 200, with the load report that the settings name."""
+        load = json.dumps({"utilization": min(1, self.working / CORES), "backlog": max(0, self.working - CORES)})
+        return f"HTTP/1.1 200 OK\r\nX-Server-Load: {load}\r\nContent-Length: {length}\r\n\r\n".encode()
 
 
 def reset(connection):
@@ -262,14 +292,30 @@
 
 
 def run(main):
-    """Runs a case and exits with its code; a case that fails by itself could not run."""
-    def interrupted(*_):
-        raise SystemExit(2)  # ends the node in the case's `finally`
-    signal.signal(signal.SIGTERM, interrupted)
+    """Runs a case and exits by its result: True if the rule was broken, False if it held, None if it could not run.
+
+    The node and its folder go with the case, also when it is interrupted, takes too long or loses its parent.
+    """
+    parent = os.getppid()
+
+    def leave(code):
+        for node in nodes:
+            node.stop()
+        sys.stdout.flush()
+        os._exit(code)
+
+    def watch_parent():
+        while os.getppid() == parent:
+            time.sleep(0.2)
+        leave(COULD_NOT_RUN)
+
+    for interruption in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(interruption, lambda *_: leave(COULD_NOT_RUN))
+    signal.alarm(TIME_LIMIT_S)
+    threading.Thread(target=watch_parent, daemon=True).start()
     try:
-        code = main()
-    except Exception:
+        broken = main()
+    except BaseException:
         traceback.print_exc()
-        code = 2
-    sys.stdout.flush()
-    sys.exit(code)
+        broken = None
+    leave(COULD_NOT_RUN if broken is None else BROKEN if broken else HELD)
