Review: a case ends its node at any signal, and at a second one

Cause: a case whose run.sh was killed at its very start ran on, and one that got SIGINT and SIGTERM at once could wait for itself.

Change: run.sh tells the case its process id; the case kills and exits without waiting, once.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -296,12 +296,17 @@
 
     The node and its folder go with the case, also when it is interrupted, takes too long or loses its parent.
     """
-    parent = os.getppid()
+    interruptions = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM)
+    parent = int(os.environ["RUN_PID"])  # the process id of run.sh
 
     def leave(code):
+        for interruption in interruptions:
+            if threading.current_thread() is threading.main_thread():
+                signal.signal(interruption, signal.SIG_IGN)  # a second one must not begin this anew
         for node in nodes:
-            node.stop()
-        sys.stdout.flush()
+            if node.process and node.process.returncode is None:
+                os.kill(node.process.pid, signal.SIGKILL)
+            shutil.rmtree(node.folder, ignore_errors=True)
         os._exit(code)
 
     def watch_parent():
@@ -309,7 +314,7 @@
             time.sleep(0.2)
         leave(COULD_NOT_RUN)
 
-    for interruption in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+    for interruption in interruptions:
         signal.signal(interruption, lambda *_: leave(COULD_NOT_RUN))
     signal.alarm(TIME_LIMIT_S)
     threading.Thread(target=watch_parent, daemon=True).start()
@@ -318,4 +323,5 @@
     except BaseException:
         traceback.print_exc()
         broken = None
+    sys.stdout.flush()
     leave(COULD_NOT_RUN if broken is None else BROKEN if broken else HELD)
