Review: an interrupted case waits for the node that it has killed

Cause: after an interrupt the killed node stayed as a defunct process where nothing else waits for orphans.

Change: review/common/rig.py waits for it, for 2 s at most.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -291,6 +291,16 @@
             f"Content-Length: {length}\r\n\r\n").encode()
 
 
+def reap(pid):
+    """Waits for a killed child, for 2 s at most."""
+    end = time.monotonic() + 2
+    try:
+        while os.waitpid(pid, os.WNOHANG) == (0, 0) and time.monotonic() < end:
+            time.sleep(0.01)
+    except ChildProcessError:
+        pass  # somebody else has waited for it
+
+
 def run(main):
     """Runs a case and exits by its result: True if the rule was broken, False if it held, None if it could not run.
 
@@ -306,6 +316,7 @@
         for node in nodes:
             if node.process and node.process.returncode is None:
                 os.kill(node.process.pid, signal.SIGKILL)
+                reap(node.process.pid)
             shutil.rmtree(node.folder, ignore_errors=True)
         os._exit(code)
 
