--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -168,6 +168,18 @@
     def text(self):
         return (self.folder / "log").read_text(errors="replace")
 
+    def client_ports(self):
+        """The ports of the clients whose connections the process has open, as the platform sees them."""
+        folder = pathlib.Path(f"/proc/{self.process.pid}/fd")
+        inodes = {os.readlink(entry) for entry in folder.iterdir() if entry.is_symlink()}
+        ports = set()
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            local, remote = (int(address.split(":")[1], 16) for address in fields[1:3])
+            if local == self.port and f"socket:[{fields[9]}]" in inodes:
+                ports.add(remote)
+        return ports
+
     def stop(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
