--- a/crates/proxy/tests/client_disconnects.rs
+++ b/crates/proxy/tests/client_disconnects.rs
@@ -102,10 +102,7 @@
             } else {
                 client.send(class, "60000m").await;
             }
-            let ((mut connection, _), other) = tokio::select! {
-                accepted = one.accept_request() => (accepted, &two),
-                accepted = two.accept_request() => (accepted, &one),
-            };
+            let ((mut connection, _), other) = accept_request_at_either(&one, &two).await;
             client.write_until_closed(&bytes).await;
             client.half_close().await;
             connection
@@ -195,10 +192,7 @@
                             .await;
                     }
                 }
-                let ((mut connection, _), other) = tokio::select! {
-                    accepted = one.accept_request() => (accepted, &two),
-                    accepted = two.accept_request() => (accepted, &one),
-                };
+                let ((mut connection, _), other) = accept_request_at_either(&one, &two).await;
                 proxy.signal("STOP").await;
                 connection
                     .respond(
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unused_imports)] // Each test file uses only some of it.
 
+mod bodies;
 mod builder;
 mod connection;
 mod faults;
@@ -12,12 +13,16 @@
 mod settings;
 mod spawn_lock;
 
+pub use bodies::numbered_text;
 pub use builder::{serve, serve_with_admin, serve_with_faults, ProxyBuilder};
 pub use connection::{Connection, Message};
 pub use faults::FaultInjection;
 pub use folder::StateFolder;
 pub use process::{run_to_exit, ProxyProcess};
-pub use servers::{full_listener, unique_address, ScriptedServer, WatchStream};
+pub use servers::{
+    accept_at_either, accept_request_at_either, full_listener, unique_address, ScriptedServer,
+    WatchStream,
+};
 pub use settings::{endpoint, settings, MEMORY_MB};
 pub use spawn_lock::spawn_locked;
 
--- a/crates/proxy/tests/common/servers.rs
+++ b/crates/proxy/tests/common/servers.rs
@@ -78,6 +78,28 @@
     }
 }
 
+/// Accepts the next connection at either of two backends. Returns it and the backend that did not
+/// get it.
+pub async fn accept_at_either<'a>(
+    one: &'a ScriptedServer,
+    two: &'a ScriptedServer,
+) -> (Connection, &'a ScriptedServer) {
+    tokio::select! {
+        connection = one.accept() => (connection, two),
+        connection = two.accept() => (connection, one),
+    }
+}
+
+/// Does the same as [`accept_at_either`], and reads the first request on the connection.
+pub async fn accept_request_at_either<'a>(
+    one: &'a ScriptedServer,
+    two: &'a ScriptedServer,
+) -> ((Connection, Message), &'a ScriptedServer) {
+    let (mut connection, other) = accept_at_either(one, two).await;
+    let request = connection.read().await.expect("a request");
+    ((connection, request), other)
+}
+
 /// Creates a listener whose accept queue is full: a further connection is established only by the
 /// kernel's SYN retry, after the queue has room. Returns the listener, its address and the
 /// connections that fill the queue.
--- a/crates/proxy/tests/upstream_attempts.rs
+++ b/crates/proxy/tests/upstream_attempts.rs
@@ -57,10 +57,7 @@
     for headers in ["", "X-Not-Processed: 0\r\n"] {
         let mut client = proxy.connect().await;
         client.send("unsafe", "20000m").await;
-        let ((mut connection, _), other) = tokio::select! {
-            accepted = one.accept_request() => (accepted, &two),
-            accepted = two.accept_request() => (accepted, &one),
-        };
+        let ((mut connection, _), other) = accept_request_at_either(&one, &two).await;
         connection
             .respond("503 Service Unavailable", headers, "")
             .await;
@@ -84,10 +81,7 @@
     let (proxy, _discovery, _watch) = serve(&[("one", &one), ("two", &two)]).await;
     let mut client = proxy.connect().await;
     client.send("unsafe", "20000m").await;
-    let ((mut connection, first), other) = tokio::select! {
-        accepted = one.accept_request() => (accepted, &two),
-        accepted = two.accept_request() => (accepted, &one),
-    };
+    let ((mut connection, first), other) = accept_request_at_either(&one, &two).await;
     connection
         .respond("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
         .await;
@@ -106,10 +100,7 @@
     for partial_response in ["", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"] {
         let mut client = proxy.connect().await;
         client.send("unsafe", "20000m").await;
-        let ((mut connection, _), other) = tokio::select! {
-            accepted = one.accept_request() => (accepted, &two),
-            accepted = two.accept_request() => (accepted, &one),
-        };
+        let ((mut connection, _), other) = accept_request_at_either(&one, &two).await;
         connection.write(partial_response).await;
         drop(connection);
         client.expect_status(504).await;
@@ -132,10 +123,7 @@
         let (proxy, _discovery, _watch) = serve(&[("one", &one), ("two", &two)]).await;
         let mut client = proxy.connect().await;
         client.send("keyed", "20000m").await;
-        let ((mut first, _), other) = tokio::select! {
-            accepted = one.accept_request() => (accepted, &two),
-            accepted = two.accept_request() => (accepted, &one),
-        };
+        let ((mut first, _), other) = accept_request_at_either(&one, &two).await;
         first.write(malformed).await;
         let (mut second, _) = other.accept_request().await;
         // Checked without waiting, so that a connection closed only later counts as open.
@@ -161,10 +149,7 @@
         let (proxy, _discovery, _watch) = serve(&[("one", &one), ("two", &two)]).await;
         let mut client = proxy.connect().await;
         client.send_with_body("r", &"x".repeat(60_000)).await;
-        let ((mut connection, _), other) = tokio::select! {
-            accepted = one.accept_request() => (accepted, &two),
-            accepted = two.accept_request() => (accepted, &one),
-        };
+        let ((mut connection, _), other) = accept_request_at_either(&one, &two).await;
         connection.write(partial_response).await;
         connection.reset();
         assert_eq!(
@@ -380,10 +365,7 @@
     let (proxy, _discovery, _watch) = serve(&[("one", &one), ("two", &two)]).await;
     let mut client = proxy.connect().await;
     client.send("safe", "20000m").await;
-    let ((mut connection, first), other) = tokio::select! {
-        accepted = one.accept_request() => (accepted, &two),
-        accepted = two.accept_request() => (accepted, &one),
-    };
+    let ((mut connection, first), other) = accept_request_at_either(&one, &two).await;
     client.close().await;
     connection
         .respond("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
