Log what a lost attempt counts as, and how much of its upload had arrived

Cause: `exchange_failed` named the error alone. Whether an attempt that was reset counts as never executed, and whether the node took its body for incomplete, could not be told from the log.

--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -93,7 +94,31 @@
     Failed { at: Instant, error: MessageError },
 }
 
-/// The last progress of an upload, by either side.
+/// How much of an upload has been received, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct UploadProgress {
+    state: UploadState,
+    bytes_read: u64,
+    /// Declared length in bytes; `None` for a chunked body.
+    length: Option<u64>,
+}
+
+impl fmt::Display for UploadProgress {
+    /// Formats the state and the bytes received, of how many if that was declared:
+    /// `receiving:70000/100000` or, for a chunked body, `complete:70000`.
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        let state = match self.state {
+            UploadState::Receiving => "receiving",
+            UploadState::Complete { .. } => "complete",
+            UploadState::Failed { .. } => "failed",
+        };
+        write!(formatter, "{state}:{}", self.bytes_read)?;
+        self.length
+            .map_or(Ok(()), |length| write!(formatter, "/{length}"))
+    }
+}
+
+/// The last activity of either side of an upload.
 #[derive(Clone, Copy, Debug)]
 struct Activity {
     at: Instant,
@@ -136,6 +161,15 @@
         }
     }
 
+    /// Returns how much of the body has been received.
+    pub fn progress(&self) -> UploadProgress {
+        UploadProgress {
+            state: self.state.get(),
+            bytes_read: self.bytes_read.get(),
+            length: self.length,
+        }
+    }
+
     /// Whether all of the body was received.
     pub fn is_complete(&self) -> bool {
         matches!(self.state.get(), UploadState::Complete { .. })
--- a/crates/proxy/src/requests/dispatcher.rs
+++ b/crates/proxy/src/requests/dispatcher.rs
@@ -200,13 +200,13 @@
     ) -> Option<AttemptEnd> {
         let record = state.requests.get_mut(id.request)?;
         let end = record.end_attempt(id.index, finished.outcome, finished.load_report)?;
-        let attempt = &record.attempts[id.index as usize];
+        let backend = record.attempts[id.index as usize].backend;
         self.metrics.count(|c| c.count_attempt_end(end.outcome));
-        let counts = state.attempt_counts.entry(attempt.backend).or_default();
+        let counts = state.attempt_counts.entry(backend).or_default();
         counts.count_end(end.outcome);
         if let Some(error) = &finished.error {
             if self.metrics.may_log_error() {
-                let line = exchange_failed_line(record, id.index, attempt, error);
+                let line = exchange_failed_line(record, id.index, backend, &end, error);
                 self.log(format_args!("{line}"));
             }
         }
--- a/crates/proxy/src/requests/request_log.rs
+++ b/crates/proxy/src/requests/request_log.rs
@@ -1,10 +1,10 @@
 //! Log lines about single requests that were given up, and about exchanges that failed.
 
-use super::attempts::Attempt;
+use super::attempts::{Attempt, AttemptEnd};
 use super::registry::RequestRecord;
 use super::request::FinalResponse;
 use crate::upstream::response::ExchangeError;
-use balancer::GiveUpReason;
+use balancer::{BackendId, GiveUpReason};
 use std::fmt::{self, Write as _};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -85,20 +85,27 @@
     Ok(())
 }
 
-/// Formats the log line about an attempt whose connection or response failed.
+/// Formats the log line about an attempt that has ended because its connection or response failed.
+/// For a streamed request body it tells how much of the body had been received.
 pub fn exchange_failed_line(
     record: &RequestRecord,
     index: u32,
-    attempt: &Attempt,
+    backend: BackendId,
+    end: &AttemptEnd,
     error: &ExchangeError,
 ) -> String {
-    let latency = attempt.end().map_or(Duration::ZERO, |end| end.latency);
-    format!(
-        "exchange_failed id={} backend={} attempt={index} ms={:.2} error=\"{error}\"",
+    let mut line = format!(
+        "exchange_failed id={} backend={backend} attempt={index} outcome={:?} ms={:.2}",
         printable_id(&record.id),
-        attempt.backend,
-        milliseconds(latency),
-    )
+        end.outcome,
+        milliseconds(end.latency),
+    );
+    // Writing to a `String` cannot fail.
+    if let Some(upload) = record.request.body().upload() {
+        let _ = write!(line, " upload={}", upload.progress());
+    }
+    let _ = write!(line, " error=\"{error}\"");
+    line
 }
 
 /// Formats a client-assigned request id for the log, truncated to [`MAX_LOGGED_ID_BYTES`] and
--- a/crates/proxy/tests/large_requests.rs
+++ b/crates/proxy/tests/large_requests.rs
@@ -201,6 +201,28 @@
     }
 }
 
+/// The log must tell whether an attempt that was lost had the whole body of its request, which decides
+/// where the request may be sent again.
+#[tokio::test]
+async fn lost_attempt_is_logged_with_the_progress_of_its_upload() {
+    let backend = ScriptedServer::new().await;
+    let (mut proxy, _discovery, _watch) = serve(&[("s", &backend)]).await;
+    let mut client = proxy.connect().await;
+    let head = upload_head("u5", "unsafe", "Content-Length: 200000");
+    client.write(&(head + &numbered_text(199_999))).await;
+    let mut connection = backend.accept().await;
+    // More than the buffered part has been forwarded.
+    assert!(connection.read_bytes(150_000).await.is_some());
+    connection.reset();
+    let line = proxy.wait_for_log("exchange_failed id=u5 ").await;
+    assert!(
+        line.contains(" outcome=ConnectFailed ")
+            && line.contains(" upload=receiving:")
+            && line.contains("/200000 "),
+        "{line}"
+    );
+}
+
 /// A backend rejects a large request before it has received all of it. As long as it has read no
 /// more than the part that is buffered, the request must be retried, with its whole body.
 #[tokio::test]
