Take a request body that ends in the frame over the limit for complete

At a backend that hung it had no deadline and was rejected after 10 s. After each such request the client's connection was closed.

Cause: `buffer_body` returned `Incomplete` as soon as the buffer exceeded 64 KiB, also if the frame that exceeds it is the last one. The body was then streamed as an upload with nothing left to read. An upload is complete once somebody reads beyond its first part; hyper reads a body of declared length no further than that, so it stayed `Receiving`, and a reset counted as one before the last byte.

Change: the body is asked for its end when the limit is exceeded, and is then buffered whole, with its deadline and its outcomes. `Upload::new` asserts that something is left to read. Why it works: a body of declared length that has more to read gets at least one more frame through the upload, which then sees its end; one of unknown length is read to its end.

--- a/crates/proxy/src/http1/body.rs
+++ b/crates/proxy/src/http1/body.rs
@@ -21,12 +21,14 @@
 pub enum BufferedPart {
     /// All of the body.
     Complete,
-    /// Only its beginning; the rest is still to be read from the body.
+    /// Only its beginning; the rest, or the end of a body of unknown length, is still to be read from
+    /// the body.
     Incomplete,
 }
 
 /// Reads a body into `buffer` until the body is complete or the buffer exceeds
-/// [`MAX_BUFFERED_BODY_BYTES`]. Trailers are discarded.
+/// [`MAX_BUFFERED_BODY_BYTES`]. A body of declared length whose last byte is in the frame that
+/// exceeds that size is complete. Trailers are discarded.
 ///
 /// # Errors
 ///
@@ -47,5 +49,11 @@
             buffer.extend_from_slice(&data);
         }
     }
-    Ok(BufferedPart::Incomplete)
+    // A body of declared length is polled no further than that by whoever sends it on, so that its
+    // end has to be noticed here.
+    Ok(if body.is_end_stream() {
+        BufferedPart::Complete
+    } else {
+        BufferedPart::Incomplete
+    })
 }
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -139,7 +139,11 @@
 impl Upload {
     /// Creates an upload of which `buffered` was received already and `rest` is to be received.
     /// `length` is the declared length of both together, in bytes.
+    ///
+    /// `rest` must not have ended: hyper reads a body of declared length no further than that, and
+    /// the upload would never be complete.
     pub fn new(buffered: Bytes, rest: Incoming, length: Option<u64>) -> Rc<Self> {
+        debug_assert!(!rest.is_end_stream(), "the upload has ended already");
         Rc::new(Upload {
             bytes_read: Cell::new(buffered.len() as u64),
             buffered: RefCell::new(buffered),
