Bound by the deadline how long an attempt with a large body may connect

Callers saw: a request with a body over 64 KiB whose backends accept no connection was rejected when the connect timeout was over, not at its deadline: after 5.0 s with a timeout of 1 s.

Cause: the deadline of a body that is still being received counts from its last byte, whose arrival is noticed when the attempt reads it. An attempt that connects reads nothing; the client may have sent the last byte before.

Change: such an attempt may connect until its deadline at most, counted as for a complete body, and then counts as not executed, since nothing of it was written.

Tests: request_whose_backend_accepts_no_connection_is_rejected_in_time failed before (5.0 s) and passes; large_request_on_a_late_connection_is_served, the healthy side, passed before and after.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -110,7 +110,6 @@
         };
         let request = Request::from_parts(head, stream);
         let (deadline, progress) = (constraints.deadline, constraints.progress.clone());
-        let time_limit = deadline.saturating_duration_since(Instant::now());
         let upload = body.upload();
         let check = AttemptCheck {
             backend: backend.clone(),
@@ -120,7 +119,7 @@
         };
         let exchange = self.connect_and_send(check, request);
         match upload {
-            Some(upload) => await_streamed_exchange(upload, time_limit, exchange).await,
+            Some(upload) => await_streamed_exchange(upload, deadline, &progress, exchange).await,
             None => await_buffered_exchange(deadline, &progress, exchange).await,
         }
     }
@@ -312,20 +311,33 @@
 }
 
 /// Waits for the exchange of a request whose body is still being received. The backend starts to
-/// execute the request when it has the last byte, so `time_limit` counts from the last byte, too.
+/// execute the request when it has the last byte, so the time until `deadline` counts from the last
+/// byte, too.
+///
+/// An attempt may connect until `deadline` at most: meanwhile nobody reads the body, whose last byte
+/// the client may have sent before.
 async fn await_streamed_exchange(
     upload: &Upload,
-    time_limit: Duration,
+    deadline: Instant,
+    progress: &Cell<SendProgress>,
     exchange: impl Future<Output = Exchange>,
 ) -> Exchange {
+    let time_limit = deadline.saturating_duration_since(Instant::now());
     let time_limit_reached = async {
         upload.ended().await;
         tokio::time::sleep(time_limit).await;
     };
+    let connecting_too_long = async {
+        tokio::time::sleep_until(deadline).await;
+        if progress.get() == SendProgress::Written {
+            std::future::pending::<()>().await;
+        }
+    };
     let exchange = tokio::select! {
         biased;
         exchange = exchange => exchange,
         () = time_limit_reached => Exchange::failed(AttemptOutcome::TimedOut),
+        () = connecting_too_long => Exchange::failed(AttemptOutcome::ConnectFailed),
         () = upload.stalled() => Exchange::failed(AttemptOutcome::ConnectionReset),
     };
     match exchange.outcome {
--- a/crates/proxy/tests/large_request_attempts.rs
+++ b/crates/proxy/tests/large_request_attempts.rs
@@ -29,6 +29,10 @@
 /// Time that clients give a request whose backends never answer.
 const SHORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time that clients give a request whose backend accepts the connection late: more than the
+/// system's pause before it repeats a connection's first packet, a second.
+const LATE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Time that clients give a request which is to end long before.
 const LONG_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -250,6 +254,77 @@
     }
 }
 
+/// A request whose backend accepts no connection must be rejected at its deadline. While an attempt
+/// connects, nobody reads the rest of a large body, whose last byte may have been sent long before:
+/// the client got its rejection only when the connect timeout was over.
+#[tokio::test]
+async fn request_whose_backend_accepts_no_connection_is_rejected_in_time() {
+    let (_listener, address, _queued_connections) = full_listener().await;
+    let discovery = ScriptedServer::new().await;
+    let (proxy, _watch) = ProxyBuilder::new(discovery.address())
+        .start_ready(&discovery, &[endpoint("s", address, "active")])
+        .await;
+    let mut waiting = Vec::new();
+    for framing in FRAMINGS {
+        for size in BODY_SIZES {
+            let case = format!("{framing:?} {size}");
+            let id = case.replace(' ', "-");
+            let request = framing.request(&id, "unsafe", SHORT_TIMEOUT, &numbered_text(size));
+            let mut client = proxy.connect().await;
+            client.write(&request).await;
+            waiting.push((case, tokio::spawn(timed_status(client))));
+        }
+    }
+    for (case, response) in waiting {
+        let (status, elapsed) = response.await.expect("a response");
+        assert_eq!(status, 503, "{case}");
+        assert!(elapsed < LATEST_RESPONSE, "{case}: {elapsed:?}");
+    }
+}
+
+/// A connection that comes up late, but in the request's time, must carry a large request to its
+/// end, also if the client goes on sending for longer than the request's time.
+#[tokio::test]
+async fn large_request_on_a_late_connection_is_served() {
+    for framing in FRAMINGS {
+        let (listener, address, queued_connections) = full_listener().await;
+        let discovery = ScriptedServer::new().await;
+        let (proxy, _watch) = ProxyBuilder::new(discovery.address())
+            .start_ready(&discovery, &[endpoint("s", address, "active")])
+            .await;
+        let body = numbered_text(100_000);
+        let (first_part, rest) = body.split_at(BUFFER_LIMIT + 1);
+        let mut client = proxy.connect().await;
+        let head = framing.head("r", "unsafe", LATE_CONNECTION_TIMEOUT, body.len());
+        let sent_at = Instant::now();
+        client.write(&(head + first_part)).await;
+        // Once this call is answered, the attempt is connecting.
+        proxy.get("/health/live").await;
+        for _ in 0..queued_connections.len() {
+            within("a queued connection", listener.accept())
+                .await
+                .expect("a connection");
+        }
+        let (stream, _) = within("the proxy's connection", listener.accept())
+            .await
+            .expect("a connection");
+        let sending = async {
+            for part in rest.as_bytes().chunks(10_000) {
+                tokio::time::sleep(LATE_CONNECTION_TIMEOUT / 4).await;
+                client
+                    .write(std::str::from_utf8(part).expect("the text is ASCII"))
+                    .await;
+            }
+            client.write(framing.end()).await;
+        };
+        let case = format!("{framing:?}");
+        let serving = serve_whole_request(Connection::new(stream), &body, &case);
+        tokio::join!(sending, serving);
+        assert!(sent_at.elapsed() > LATE_CONNECTION_TIMEOUT);
+        client.expect_status(200).await;
+    }
+}
+
 /// A request that was sent whole leaves its connection usable. A body that counted as incomplete
 /// had its connection closed after the response.
 #[tokio::test]
