Send a streamed body that is complete by now under its known deadline

Callers saw: a non-idempotent request with a chunked body just over 64 KiB, rejected by one backend and without a connection to the next one in its time, was answered 504, "may have been carried out", though nobody had executed it.

Cause: every streamed body was treated as one that is still being received, also when an earlier attempt had read it to its end. Its deadline then ends an attempt as timed out, which may have been executed, written or not.

Evidence: of three sizes and both framings only the chunked body of 64 KiB and one byte got 504, the others 503.

Change: `send_attempt` asks whether the body is complete when the attempt starts. If so it is sent like a buffered one: the deadline is checked before the first byte, and an attempt still connecting then was not executed.

Tests: request_whose_retry_finds_no_connection_is_rejected_in_time failed before (504) and passes; the healthy retries of the same file pass before and after.

--- a/crates/proxy/src/send_invariants.rs
+++ b/crates/proxy/src/send_invariants.rs
@@ -83,8 +83,8 @@
     pub backend_accepts: bool,
     /// Whether the client still waits for a response.
     pub client_waiting: bool,
-    /// Deadline of the attempt; `None` if the request's body is streamed, since the attempt's time
-    /// then starts with the last byte of the body.
+    /// Deadline of the attempt; `None` if the request's body is still being received, since the
+    /// attempt's time then starts with the last byte of the body.
     pub deadline: Option<Instant>,
     /// When the remaining time stated to the backend was computed; `None` before that, and whenever
     /// there is no deadline.
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -110,7 +110,8 @@
         };
         let request = Request::from_parts(head, stream);
         let (deadline, progress) = (constraints.deadline, constraints.progress.clone());
-        let upload = body.upload();
+        // An upload that is complete by now is sent like a buffered body: its deadline is known.
+        let upload = body.upload().filter(|upload| !upload.is_complete());
         let check = AttemptCheck {
             backend: backend.clone(),
             metrics: self.metrics.clone(),
@@ -261,8 +262,8 @@
 struct AttemptCheck {
     backend: Rc<Backend>,
     metrics: Rc<Metrics>,
-    /// Whether the deadline applies already. For a streamed request body it does not, since the
-    /// attempt's time starts with the last byte of the body.
+    /// Whether the deadline applies already. While the request's body is being received it does not,
+    /// since the attempt's time starts with the last byte of the body.
     deadline_applies: bool,
     constraints: AttemptConstraints,
 }
--- a/crates/proxy/tests/large_request_attempts.rs
+++ b/crates/proxy/tests/large_request_attempts.rs
@@ -282,6 +282,40 @@
     }
 }
 
+/// A request that was rejected by one backend and finds no connection to the other was not executed,
+/// also if its chunked body was complete before: it must be rejected rather than fail.
+#[tokio::test]
+async fn request_whose_retry_finds_no_connection_is_rejected_in_time() {
+    for framing in FRAMINGS {
+        for size in REPEATABLE_SIZES {
+            let case = format!("{framing:?} {size}");
+            let backend = ScriptedServer::new().await;
+            let (_listener, address, _queued_connections) = full_listener().await;
+            let discovery = ScriptedServer::new().await;
+            let (proxy, mut watch) = ProxyBuilder::new(discovery.address())
+                .start_ready(&discovery, &[endpoint("s", backend.address(), "active")])
+                .await;
+            let mut client = proxy.connect().await;
+            let request = framing.request("r", "unsafe", SHORT_TIMEOUT, &numbered_text(size));
+            let rejecting = async {
+                let mut connection = backend.accept().await;
+                assert!(connection.read_streamed().await.1.is_some(), "{case}");
+                watch
+                    .send_list(2, false, &[endpoint("full", address, "active")])
+                    .await;
+                proxy.wait_for_revision(2).await;
+                connection
+                    .respond("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
+                    .await;
+            };
+            tokio::join!(client.write(&request), rejecting);
+            let (status, elapsed) = timed_status(client).await;
+            assert_eq!(status, 503, "{case}");
+            assert!(elapsed < LATEST_RESPONSE, "{case}: {elapsed:?}");
+        }
+    }
+}
+
 /// A connection that comes up late, but in the request's time, must carry a large request to its
 /// end, also if the client goes on sending for longer than the request's time.
 #[tokio::test]
