Read responses in a module of their own, once for attempts and load probes

Change: upstream/received_response.rs holds ReceivedResponse, with the code and the constants of exchange.rs as they were; exchange.rs sends. No behaviour changes.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -4,18 +4,16 @@
 use super::connection::Connection;
 use super::load_report_header::LoadReportReader;
 use super::pool::ConnectionPool;
+use super::received_response::{ReceivedBody, ReceivedResponse};
 use super::response::{Exchange, ExchangeResponse, ResponseBody};
-use crate::http1::body::{buffer_body, BufferedPart};
 use crate::http1::download::StreamingResponse;
-use crate::http1::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::http1::upload::{RequestBody, RequestBodyStream, Upload};
 use crate::metrics::Metrics;
 use crate::send_invariants::{self, Invariant, SendConditions};
-use balancer::{AttemptOutcome, LoadReport};
-use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use balancer::AttemptOutcome;
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Request, Response};
 use settings::{LoadReportField, SettingNames};
 use std::cell::Cell;
 use std::future::Future;
@@ -23,16 +21,10 @@
 use std::time::Duration;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// How long a successful response of unknown length is buffered, in case it is small, before it is
-/// streamed.
-const BUFFERING_TIMEOUT: Duration = Duration::from_millis(50);
 /// Path on which backends answer load probes.
 const LOAD_PROBE_PATH: &str = "/stats";
 /// Header that tells the backend how much time is left for the attempt, as `<microseconds>u`.
 const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
-/// Header that, with value `1` on a response of status 503 or 504, proves that the request was not
-/// executed.
-const NOT_PROCESSED: HeaderName = HeaderName::from_static("x-not-processed");
 
 /// Whether an attempt has been written to its connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -192,13 +184,16 @@
         connection: Connection,
         response: Response<Incoming>,
     ) -> Exchange {
-        let (head, body) = response.into_parts();
-        let outcome = response_outcome(head.status, &head.headers);
-        let is_success = outcome == AttemptOutcome::Success;
-        let body = match receive_body(body, is_success).await {
-            Ok(body) => body,
+        let received = match ReceivedResponse::read(response).await {
+            Ok(received) => received,
             Err(error) => return Exchange::connection_reset(error),
         };
+        let is_success = received.is_success();
+        let ReceivedResponse {
+            head,
+            outcome,
+            body,
+        } = received;
         let load_report = self.load_reports.read_headers(&head.headers);
         let (response, connection) = match body {
             ReceivedBody::Complete(body) => {
@@ -232,30 +227,24 @@
         connection: Connection,
         response: Response<Incoming>,
     ) -> Exchange {
-        let (head, body) = response.into_parts();
-        let outcome = response_outcome(head.status, &head.headers);
-        let is_success = outcome == AttemptOutcome::Success;
-        let body = match receive_body(body, is_success).await {
-            Ok(body) => body,
+        let received = match ReceivedResponse::read(response).await {
+            Ok(received) => received,
             Err(error) => return Exchange::connection_reset(error),
         };
-        let (body, connection) = match body {
+        let is_success = received.is_success();
+        let (body, connection) = match received.body {
             ReceivedBody::Complete(body) => (body, Some(connection)),
             ReceivedBody::Partial { buffered, .. } => (buffered, None),
         };
+        let load_report = is_success
+            .then(|| self.load_reports.read_json(&body))
+            .flatten();
         Exchange {
-            load_report: self.probed_load(is_success, &body),
+            load_report,
             connection,
-            ..Exchange::failed(outcome)
+            ..Exchange::failed(received.outcome)
         }
     }
-
-    /// Returns the load report in the body of a successful response to a load probe.
-    fn probed_load(&self, is_success: bool, body: &[u8]) -> Option<LoadReport> {
-        is_success
-            .then(|| self.load_reports.read_json(body))
-            .flatten()
-    }
 }
 
 /// Checks whether an attempt may be sent at the moment of the call.
@@ -355,60 +344,6 @@
     }
 }
 
-/// The body of a response, as far as it was buffered.
-enum ReceivedBody {
-    /// The whole body is buffered.
-    Complete(Bytes),
-    /// The body is too large or too slow to buffer; `rest` has not been read yet.
-    Partial { buffered: Bytes, rest: Incoming },
-}
-
-/// Reads the body of a response until it is complete or turns out to be too large to buffer. A
-/// successful response of unknown length is read for [`BUFFERING_TIMEOUT`] at most.
-async fn receive_body(mut body: Incoming, is_success: bool) -> Result<ReceivedBody, hyper::Error> {
-    let length = body.size_hint().exact();
-    let mut buffered = BytesMut::new();
-    let part = match length {
-        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => BufferedPart::Incomplete,
-        // A slow body of unknown length could otherwise be buffered for as long as it lasts.
-        None if is_success => {
-            let buffering = buffer_body(&mut buffered, &mut body);
-            timeout(BUFFERING_TIMEOUT, buffering)
-                .await
-                .unwrap_or(Ok(BufferedPart::Incomplete))?
-        }
-        _ => buffer_body(&mut buffered, &mut body).await?,
-    };
-    let buffered = buffered.freeze();
-    Ok(match part {
-        BufferedPart::Complete => ReceivedBody::Complete(buffered),
-        BufferedPart::Incomplete => ReceivedBody::Partial {
-            buffered,
-            rest: body,
-        },
-    })
-}
-
-/// Returns the outcome of an attempt by the head of its response.
-fn response_outcome(status: StatusCode, headers: &HeaderMap) -> AttemptOutcome {
-    match status {
-        StatusCode::OK => AttemptOutcome::Success,
-        // Without the header these statuses do not prove that the request was not executed.
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
-            if is_marked_not_processed(headers) =>
-        {
-            AttemptOutcome::Rejected
-        }
-        _ => AttemptOutcome::ServerError,
-    }
-}
-
-fn is_marked_not_processed(headers: &HeaderMap) -> bool {
-    headers
-        .get(NOT_PROCESSED)
-        .is_some_and(|value| value.as_bytes() == b"1")
-}
-
 fn timeout_value(remaining: Duration) -> HeaderValue {
     HeaderValue::from_str(&format!("{}u", remaining.as_micros()))
         .expect("digits are valid in a header")
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 pub mod exchange;
 mod load_report_header;
 pub mod pool;
+mod received_response;
 pub mod response;
 
 pub use connection::MAX_WRITE_BUFFER_BYTES;
