Share the backend with a full accept queue and the retries of large bodies

Change: FullListener with make_room and accept in place of full_listener; Connection::expect_closed in place of three loops that assert the same; assert_sent_again_whole. No check is changed.

--- a/crates/proxy/tests/client_disconnects.rs
+++ b/crates/proxy/tests/client_disconnects.rs
@@ -35,49 +35,26 @@
 #[tokio::test]
 async fn late_upstream_connection_carries_nothing_for_a_disconnected_client() {
     for class in CLASSES {
-        let (listener, address, queued_connections) = full_listener().await;
+        let listener = FullListener::new().await;
         let discovery = ScriptedServer::new().await;
         let (mut proxy, _watch) = ProxyBuilder::new(discovery.address())
-            .start_ready(&discovery, &[endpoint("s", address, "active")])
+            .start_ready(&discovery, &[endpoint("s", listener.address(), "active")])
             .await;
         let mut client = proxy.connect().await;
         client.send_with_id("left", class, "20000m").await;
         // Afterwards the request has been read, and its connection is being established.
         proxy.get("/health/live").await;
         client.close().await;
-        for _ in 0..queued_connections.len() {
-            within("a queued connection", listener.accept())
-                .await
-                .expect("a connection");
-        }
-        let sent = async {
-            loop {
-                let (mut stream, _) = listener.accept().await.expect("a connection");
-                let mut byte = [0];
-                if tokio::io::AsyncReadExt::read(&mut stream, &mut byte)
-                    .await
-                    .is_ok_and(|n| n > 0)
-                {
-                    return;
-                }
-            }
-        };
+        listener.make_room().await;
+        let sent = async { while listener.accept().await.read_bytes(1).await.is_none() {} };
         tokio::select! {
             () = sent => panic!("a request of class {class} was sent to the backend"),
             line = proxy.wait_for_log("stats ") => assert!(line.contains(" client_disconnected=1 ") && line.contains(" in_flight=0 "), "{line}"),
         }
         let mut client = proxy.connect().await;
         client.send_with_id("left", class, "20000m").await;
-        let (mut stream, _) = within("the proxy's connection", listener.accept())
-            .await
-            .expect("a connection");
-        let mut byte = [0];
-        within(
-            "a request",
-            tokio::io::AsyncReadExt::read_exact(&mut stream, &mut byte),
-        )
-        .await
-        .expect("a byte");
+        let mut connection = listener.accept().await;
+        connection.read_bytes(1).await.expect("a request");
     }
 }
 
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -20,7 +20,7 @@
 pub use folder::StateFolder;
 pub use process::{run_to_exit, ProxyProcess};
 pub use servers::{
-    accept_at_either, accept_request_at_either, full_listener, unique_address, ScriptedServer,
+    accept_at_either, accept_request_at_either, unique_address, FullListener, ScriptedServer,
     WatchStream,
 };
 pub use settings::{endpoint, settings, MEMORY_MB};
--- a/crates/proxy/tests/common/servers.rs
+++ b/crates/proxy/tests/common/servers.rs
@@ -100,21 +100,55 @@
     ((connection, request), other)
 }
 
-/// Creates a listener whose accept queue is full: a further connection is established only by the
-/// kernel's SYN retry, after the queue has room. Returns the listener, its address and the
-/// connections that fill the queue.
-pub async fn full_listener() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
-    let socket = tokio::net::TcpSocket::new_v4().expect("creating a socket failed");
-    socket.bind(unique_address()).expect("binding failed");
-    let listener = socket.listen(1).expect("listening failed");
-    let address = listener.local_addr().expect("the local address");
-    let connect_timeout = Duration::from_millis(300);
-    let mut queued_connections = Vec::new();
-    while let Ok(stream) = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await
-    {
-        queued_connections.push(stream.expect("connecting failed"));
+/// A backend whose accept queue is full: a further connection is established only by the kernel's SYN
+/// retry, after the queue has room.
+pub struct FullListener {
+    listener: TcpListener,
+    address: SocketAddr,
+    /// The connections that fill the queue, at the side of the clients.
+    queued_connections: Vec<TcpStream>,
+}
+
+impl FullListener {
+    /// Listens on an address of its own, and fills the accept queue.
+    pub async fn new() -> Self {
+        let socket = tokio::net::TcpSocket::new_v4().expect("creating a socket failed");
+        socket.bind(unique_address()).expect("binding failed");
+        let listener = socket.listen(1).expect("listening failed");
+        let address = listener.local_addr().expect("the local address");
+        let connect_timeout = Duration::from_millis(300);
+        let mut queued_connections = Vec::new();
+        while let Ok(stream) =
+            tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await
+        {
+            queued_connections.push(stream.expect("connecting failed"));
+        }
+        FullListener {
+            listener,
+            address,
+            queued_connections,
+        }
+    }
+
+    /// Returns the address and port that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts the connections that fill the queue, so that it has room for others.
+    pub async fn make_room(&self) {
+        for _ in 0..self.queued_connections.len() {
+            self.accept().await;
+        }
+    }
+
+    /// Accepts the next connection.
+    pub async fn accept(&self) -> Connection {
+        let (stream, _) = within("an incoming connection", self.listener.accept())
+            .await
+            .expect("accepting failed");
+        Connection::new(stream)
     }
-    (listener, address, queued_connections)
 }
 
 /// The discovery side of an open watch, on which the test sends endpoint lists.
--- a/crates/proxy/tests/endpoint_lists.rs
+++ b/crates/proxy/tests/endpoint_lists.rs
@@ -81,10 +81,10 @@
 /// status 503 although it is non-idempotent.
 #[tokio::test]
 async fn drain_received_while_connecting_prevents_the_attempt() {
-    let (listener, address, queued_connections) = full_listener().await;
+    let listener = FullListener::new().await;
     let discovery = ScriptedServer::new().await;
     let (proxy, mut watch) = ProxyBuilder::new(discovery.address())
-        .start_ready(&discovery, &[endpoint("s", address, "active")])
+        .start_ready(&discovery, &[endpoint("s", listener.address(), "active")])
         .await;
     let mut client = proxy.connect().await;
     client.send("unsafe", "20000m").await;
@@ -92,33 +92,16 @@
     // opened.
     proxy.get("/health/live").await;
     watch
-        .send_list(2, false, &[endpoint("s", address, "leaving")])
+        .send_list(2, false, &[endpoint("s", listener.address(), "leaving")])
         .await;
     proxy.wait_for_revision(2).await;
-    for _ in 0..queued_connections.len() {
-        within("a queued connection", listener.accept())
-            .await
-            .expect("a connection");
-    }
+    listener.make_room().await;
     let response = client.read().await.expect("a response");
     assert_eq!(response.status(), 503);
-    let (stream, _) = within("the proxy's connection", listener.accept())
-        .await
-        .expect("a connection");
+    let mut connection = listener.accept().await;
     drop(client);
     drop(proxy);
-    let mut read = Vec::new();
-    let mut stream = stream;
-    let _ = within(
-        "the end of the connection",
-        tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read),
-    )
-    .await;
-    assert!(
-        read.is_empty(),
-        "sent to a draining backend: {:?}",
-        String::from_utf8_lossy(&read)
-    );
+    connection.expect_closed().await;
 }
 
 /// The list gives a new address for a backend while a connection to the old one is being opened.
@@ -126,10 +109,10 @@
 #[tokio::test]
 async fn address_change_received_while_connecting_prevents_the_attempt() {
     let new = ScriptedServer::new().await;
-    let (listener, address, queued_connections) = full_listener().await;
+    let listener = FullListener::new().await;
     let discovery = ScriptedServer::new().await;
     let (proxy, mut watch) = ProxyBuilder::new(discovery.address())
-        .start_ready(&discovery, &[endpoint("s", address, "active")])
+        .start_ready(&discovery, &[endpoint("s", listener.address(), "active")])
         .await;
     let mut client = proxy.connect().await;
     client.send("unsafe", "20000m").await;
@@ -140,14 +123,8 @@
         .send_list(2, false, &[endpoint("s", new.address(), "active")])
         .await;
     proxy.wait_for_revision(2).await;
-    for _ in 0..queued_connections.len() {
-        within("a queued connection", listener.accept())
-            .await
-            .expect("a connection");
-    }
-    let (mut old, _) = within("the proxy's connection", listener.accept())
-        .await
-        .expect("a connection");
+    listener.make_room().await;
+    let mut connection = listener.accept().await;
     // The balancer decides whether the request goes to the new address or is rejected.
     let response = tokio::select! {
         response = client.read() => response,
@@ -158,17 +135,7 @@
     };
     assert!([200, 503].contains(&response.expect("a response").status()));
     drop(proxy);
-    let mut read = Vec::new();
-    let _ = within(
-        "the end of the connection",
-        tokio::io::AsyncReadExt::read_to_end(&mut old, &mut read),
-    )
-    .await;
-    assert!(
-        read.is_empty(),
-        "sent to the old address: {:?}",
-        String::from_utf8_lossy(&read)
-    );
+    connection.expect_closed().await;
 }
 
 /// Lists and load reports may contain extreme, invalid or negative numbers. Every request must
@@ -273,7 +240,7 @@
 #[tokio::test]
 async fn retry_is_prevented_after_the_idempotency_window() {
     let first = ScriptedServer::new().await;
-    let (listener, address, queued_connections) = full_listener().await;
+    let listener = FullListener::new().await;
     let discovery = ScriptedServer::new().await;
     let window = std::time::Duration::from_secs(2); // Long enough for all that precedes the retry.
     let mut settings = settings();
@@ -286,35 +253,23 @@
     client.send("keyed", "20000m").await;
     let (mut connection, _) = first.accept_request().await;
     watch
-        .send_list(2, false, &[endpoint("second", address, "active")])
+        .send_list(
+            2,
+            false,
+            &[endpoint("second", listener.address(), "active")],
+        )
         .await;
     proxy.wait_for_revision(2).await;
     connection
         .respond("500 Internal Server Error", "", "")
         .await;
     tokio::time::sleep(window).await;
-    for _ in 0..queued_connections.len() {
-        within("a queued connection", listener.accept())
-            .await
-            .expect("a connection");
-    }
+    listener.make_room().await;
     client.expect_status(504).await;
-    let (mut stream, _) = within("the proxy's connection", listener.accept())
-        .await
-        .expect("a connection");
+    let mut connection = listener.accept().await;
     drop(client);
     drop(proxy);
-    let mut read = Vec::new();
-    let _ = within(
-        "the end of the connection",
-        tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read),
-    )
-    .await;
-    assert!(
-        read.is_empty(),
-        "sent after the window: {:?}",
-        String::from_utf8_lossy(&read)
-    );
+    connection.expect_closed().await;
 }
 
 /// A malformed update must not replace the list in use. It is logged, and the changes since the
--- a/crates/proxy/tests/large_request_attempts.rs
+++ b/crates/proxy/tests/large_request_attempts.rs
@@ -83,9 +83,12 @@
     Close,
     Reset,
     ResetInResponse,
+    /// The response promises that the request was not executed.
+    Rejection,
 }
 
-const FAILURES: [Failure; 3] = [Failure::Close, Failure::Reset, Failure::ResetInResponse];
+/// The failures after which the request may have been executed.
+const CONNECTION_LOSSES: [Failure; 3] = [Failure::Close, Failure::Reset, Failure::ResetInResponse];
 
 impl Failure {
     async fn apply(self, mut connection: Connection) {
@@ -96,6 +99,11 @@
                 connection.write("HTTP/1.1 200 OK\r\nContent-Le").await;
                 connection.reset();
             }
+            Failure::Rejection => {
+                connection
+                    .respond("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
+                    .await;
+            }
         }
     }
 }
@@ -165,7 +173,7 @@
 /// as never executed: a non-idempotent request was executed twice.
 #[tokio::test]
 async fn non_idempotent_request_is_not_sent_again_whatever_the_size_of_its_body() {
-    for failure in FAILURES {
+    for failure in CONNECTION_LOSSES {
         assert_not_sent_again("unsafe", [1, 1], failure).await;
     }
 }
@@ -219,7 +227,7 @@
 /// cell.
 #[tokio::test]
 async fn keyed_request_is_not_sent_to_another_cell_whatever_the_size_of_its_body() {
-    for failure in FAILURES {
+    for failure in CONNECTION_LOSSES {
         assert_not_sent_again("keyed", [1, 2], failure).await;
     }
 }
@@ -259,10 +267,10 @@
 /// the client got its rejection only when the connect timeout was over.
 #[tokio::test]
 async fn request_whose_backend_accepts_no_connection_is_rejected_in_time() {
-    let (_listener, address, _queued_connections) = full_listener().await;
+    let listener = FullListener::new().await;
     let discovery = ScriptedServer::new().await;
     let (proxy, _watch) = ProxyBuilder::new(discovery.address())
-        .start_ready(&discovery, &[endpoint("s", address, "active")])
+        .start_ready(&discovery, &[endpoint("s", listener.address(), "active")])
         .await;
     let mut waiting = Vec::new();
     for framing in FRAMINGS {
@@ -290,7 +298,7 @@
         for size in REPEATABLE_SIZES {
             let case = format!("{framing:?} {size}");
             let backend = ScriptedServer::new().await;
-            let (_listener, address, _queued_connections) = full_listener().await;
+            let listener = FullListener::new().await;
             let discovery = ScriptedServer::new().await;
             let (proxy, mut watch) = ProxyBuilder::new(discovery.address())
                 .start_ready(&discovery, &[endpoint("s", backend.address(), "active")])
@@ -301,7 +309,7 @@
                 let mut connection = backend.accept().await;
                 assert!(connection.read_streamed().await.1.is_some(), "{case}");
                 watch
-                    .send_list(2, false, &[endpoint("full", address, "active")])
+                    .send_list(2, false, &[endpoint("full", listener.address(), "active")])
                     .await;
                 proxy.wait_for_revision(2).await;
                 connection
@@ -321,10 +329,10 @@
 #[tokio::test]
 async fn large_request_on_a_late_connection_is_served() {
     for framing in FRAMINGS {
-        let (listener, address, queued_connections) = full_listener().await;
+        let listener = FullListener::new().await;
         let discovery = ScriptedServer::new().await;
         let (proxy, _watch) = ProxyBuilder::new(discovery.address())
-            .start_ready(&discovery, &[endpoint("s", address, "active")])
+            .start_ready(&discovery, &[endpoint("s", listener.address(), "active")])
             .await;
         let body = numbered_text(100_000);
         let (first_part, rest) = body.split_at(BUFFER_LIMIT + 1);
@@ -334,14 +342,8 @@
         client.write(&(head + first_part)).await;
         // Once this call is answered, the attempt is connecting.
         proxy.get("/health/live").await;
-        for _ in 0..queued_connections.len() {
-            within("a queued connection", listener.accept())
-                .await
-                .expect("a connection");
-        }
-        let (stream, _) = within("the proxy's connection", listener.accept())
-            .await
-            .expect("a connection");
+        listener.make_room().await;
+        let connection = listener.accept().await;
         let sending = async {
             for part in rest.as_bytes().chunks(10_000) {
                 tokio::time::sleep(LATE_CONNECTION_TIMEOUT / 4).await;
@@ -352,7 +354,7 @@
             client.write(framing.end()).await;
         };
         let case = format!("{framing:?}");
-        let serving = serve_whole_request(Connection::new(stream), &body, &case);
+        let serving = serve_whole_request(connection, &body, &case);
         tokio::join!(sending, serving);
         assert!(sent_at.elapsed() > LATE_CONNECTION_TIMEOUT);
         client.expect_status(200).await;
@@ -386,24 +388,21 @@
     }
 }
 
-/// A backend's promise that it has not executed a request lets even a non-idempotent one be sent
-/// again, with its whole body.
-#[tokio::test]
-async fn rejected_request_is_sent_again_whole() {
+/// Sends requests of this class, lets the backend that gets one fail once it has the whole body, and
+/// asserts that the other backend gets the request with its whole body.
+async fn assert_sent_again_whole(class: &str, failure: Failure) {
     for framing in FRAMINGS {
         for size in REPEATABLE_SIZES {
-            let case = format!("{framing:?} {size}");
+            let case = format!("{class} {failure:?} {framing:?} {size}");
             let (one, two) = (ScriptedServer::new().await, ScriptedServer::new().await);
             let (proxy, _discovery, _watch) = serve(&[("one", &one), ("two", &two)]).await;
             let body = numbered_text(size);
             let mut client = proxy.connect().await;
-            let request = framing.request("r", "unsafe", LONG_TIMEOUT, &body);
+            let request = framing.request("r", class, LONG_TIMEOUT, &body);
             let serving = async {
                 let (mut connection, other) = accept_at_either(&one, &two).await;
                 assert!(connection.read_streamed().await.1.is_some(), "{case}");
-                connection
-                    .respond("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
-                    .await;
+                failure.apply(connection).await;
                 serve_whole_request(other.accept().await, &body, &case).await;
             };
             tokio::join!(client.write(&request), serving);
@@ -412,28 +411,18 @@
     }
 }
 
+/// A backend's promise that it has not executed a request lets even a non-idempotent one be sent
+/// again, with its whole body.
+#[tokio::test]
+async fn rejected_request_is_sent_again_whole() {
+    assert_sent_again_whole("unsafe", Failure::Rejection).await;
+}
+
 /// After a backend has lost its connection, a request whose key the other backend shares is sent
 /// again, with its whole body.
 #[tokio::test]
 async fn keyed_request_is_sent_again_whole_after_a_reset() {
-    for framing in FRAMINGS {
-        for size in REPEATABLE_SIZES {
-            let case = format!("{framing:?} {size}");
-            let (one, two) = (ScriptedServer::new().await, ScriptedServer::new().await);
-            let (proxy, _discovery, _watch) = serve(&[("one", &one), ("two", &two)]).await;
-            let body = numbered_text(size);
-            let mut client = proxy.connect().await;
-            let request = framing.request("r", "keyed", LONG_TIMEOUT, &body);
-            let serving = async {
-                let (mut connection, other) = accept_at_either(&one, &two).await;
-                assert!(connection.read_streamed().await.1.is_some(), "{case}");
-                connection.reset();
-                serve_whole_request(other.accept().await, &body, &case).await;
-            };
-            tokio::join!(client.write(&request), serving);
-            client.expect_status(200).await;
-        }
-    }
+    assert_sent_again_whole("keyed", Failure::Reset).await;
 }
 
 /// A connection that is lost before the last byte of the body was received proves that the request
--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -199,10 +199,10 @@
 
 #[tokio::test]
 async fn prevented_invariant_violations_are_counted() {
-    let (listener, address, queued_connections) = full_listener().await;
+    let listener = FullListener::new().await;
     let discovery = ScriptedServer::new().await;
     let (mut proxy, mut watch) = ProxyBuilder::new(discovery.address())
-        .start_ready(&discovery, &[endpoint("s", address, "active")])
+        .start_ready(&discovery, &[endpoint("s", listener.address(), "active")])
         .await;
     let mut client = proxy.connect().await;
     client.send("unsafe", "20000m").await;
@@ -210,14 +210,10 @@
     // opened.
     proxy.get("/health/live").await;
     watch
-        .send_list(2, false, &[endpoint("s", address, "leaving")])
+        .send_list(2, false, &[endpoint("s", listener.address(), "leaving")])
         .await;
     proxy.wait_for_revision(2).await;
-    for _ in 0..queued_connections.len() {
-        within("a queued connection", listener.accept())
-            .await
-            .expect("a connection");
-    }
+    listener.make_room().await;
     client.expect_status(503).await;
     let line = proxy.wait_for_log(" prevented_").await;
     assert!(
