Split the tests around the buffering limit by retries and deadlines

Change: large_request_retries (8 tests) and large_request_deadlines (4); sizes and framings stand in the support code. No check is changed.

--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -13,7 +13,10 @@
 mod settings;
 mod spawn_lock;
 
-pub use bodies::numbered_text;
+pub use bodies::{
+    numbered_text, serve_whole_request, Framing, BODY_SIZES, BUFFER_LIMIT, FRAMINGS,
+    MAX_FRAME_BYTES, REPEATABLE_SIZES,
+};
 pub use builder::{serve, serve_with_admin, serve_with_faults, ProxyBuilder};
 pub use connection::{Connection, Message};
 pub use faults::FaultInjection;
