Review cases: simplify the shared stand-ins, exit with 2 on any failure

Cause: an unexpected error of a script would have ended it with 1, which means a broken rule; some options of the stand-ins had no user.

--- a/review/common-2.py
+++ b/review/common-2.py
@@ -119,7 +119,7 @@
     return lines[0], headers
 
 
-async def read_body(reader, headers, until_end=False):
+async def read_body(reader, headers):
     """Returns the body of a message, or raises if it ends before its end."""
     if "chunked" in headers.get("transfer-encoding", "").lower():
         body = b""
@@ -131,7 +131,7 @@
             body += chunk[:-2]
     if "content-length" in headers:
         return await reader.readexactly(int(headers["content-length"]))
-    return await reader.read() if until_end else b""
+    return b""
 
 
 # ---- stand-ins ----
@@ -143,23 +143,20 @@
     def __init__(self):
         self.port = None
         self.server = None
-        self.writers = set()
 
-    async def start(self, **options):
+    async def start(self):
         self.server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=1 << 20, backlog=1024, **options)
+            self._serve, "127.0.0.1", 0, limit=1 << 20, backlog=1024)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     async def _serve(self, reader, writer):
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.writers.add(writer)
         try:
             await self.serve(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # Cancelled at the end of the case only.
         finally:
-            self.writers.discard(writer)
             writer.close()
 
     async def serve(self, reader, writer):
@@ -236,11 +233,10 @@
     """One process of a node, started as the deploy file says."""
 
     def __init__(self, folder, record, settings, discovery, known=None, name="n0", sockets=512,
-                 memory_mb=128, port=None, console=None, inherited=None, tmpdir=None, tag=""):
+                 memory_mb=128):
         self.record = record
-        self.tag = tag or name
-        self.port = port or free_port()
-        self.console = console
+        self.tag = name
+        self.port = free_port()
         self.config = Path(folder) / f"config-{self.tag}.json"
         config = {
             "name": name, "listen": f"127.0.0.1:{self.port}",
@@ -249,11 +245,9 @@
             "settings": settings}
         if known is not None:
             config["known"] = known
-        if console is not None:
-            config["console"] = f"127.0.0.1:{console}"
         self.config.write_text(json.dumps(config), encoding="utf-8")
-        self.tmpdir = Path(tmpdir or Path(folder) / f"tmp-{self.tag}")
-        self.tmpdir.mkdir(exist_ok=True)
+        self.tmpdir = Path(folder) / f"tmp-{self.tag}"
+        self.tmpdir.mkdir()
         self.log = Path(folder) / f"log-{self.tag}.txt"
         environment = {key: value for key, value in os.environ.items()
                        if not key.startswith("GW_")}
@@ -261,19 +255,10 @@
             GW_NAME=name, GW_LISTEN=f"127.0.0.1:{self.port}",
             GW_DISCOVERY=f"127.0.0.1:{discovery}", GW_CONFIG=str(self.config),
             TMPDIR=str(self.tmpdir))
-        if console is not None:
-            environment["GW_CONSOLE"] = f"127.0.0.1:{console}"
-        command = deploy_line("run")
-        descriptors = ()
-        if inherited is not None:
-            # The node inherits the listener as descriptor 4, as DAYS has it.
-            environment["GW_LISTEN_FD"] = "4"
-            command = f"exec 4<&{inherited}; {command}"
-            descriptors = (inherited,)
         with open(self.log, "wb") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log, pass_fds=descriptors)
+                ["/bin/sh", "-c", deploy_line("run")], cwd=ROOT, env=environment,
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         record(f"node {self.tag}: started, listens on {self.port}")
 
     async def ready(self, limit=10.0):
@@ -318,6 +303,7 @@
 
     `nodes` is a list; every node in it is ended at the end.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends the nodes as well.
     folder = Path(tempfile.mkdtemp(prefix="case-"))
     record = Record(Path(file).resolve().parent)
     nodes = []
@@ -326,7 +312,7 @@
             raise CannotRun("the node is not built: run the deploy file's build")
         record(f"TROUBLE={int(TROUBLE)}")
         broken = asyncio.run(asyncio.wait_for(case(folder, record, nodes), 110))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Whatever else fails says nothing of the rule.
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         code = 2
