--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,8 @@
-"""A second answer that comes some milliseconds late is handed to another client."""
+"""Requests and answers of up to 64 KiB take the node far over its limit on memory."""
 
 import asyncio
 import importlib.util
-import random
+import signal
 import time
 from pathlib import Path
 
@@ -11,118 +11,110 @@
 common = importlib.util.module_from_spec(SPEC)
 SPEC.loader.exec_module(common)
 
-BACKENDS = 10
-CLIENTS = 20
-REQUESTS_PER_SECOND = 190
-SECONDS = 40
-SPOILT = 1 / 20  # part of the answers that come twice
-LATE_S = (0.006, 0.009)  # how much later the second one comes
+MEMORY_MB = 48
+SOCKETS = 384
+CLIENTS = 128  # a third of the descriptors
+BACKENDS = 12
+SECONDS = 20
+BODY_BYTES = 65_536 if common.TROUBLE else 1_000  # a body holds at most 64 KiB
+WORK_S = 0.3
 
 
 class Backend(common.Server):
-    """Serves one request at a time on a connection; the body names the request."""
+    """Works for a while on each request, with as many at a time as there are connections."""
 
-    def __init__(self, name, record, random_source):
+    def __init__(self, record):
         super().__init__()
-        self.name = name
         self.record = record
-        self.random = random_source
-        self.ran = 0
 
     async def serve(self, reader, writer):
         while (head := await common.read_head(reader)) is not None:
             body = await common.read_body(reader, head[1])
-            request_id = head[1].get("x-request-id")
-            self.ran += 1
-            await asyncio.sleep(self.random.uniform(0.010, 0.030))
-            text = f"posted {request_id} {len(body)}".encode()
-            answer = (b"HTTP/1.1 200 OK\r\nX-Server-Load: {\"utilization\":0.4,\"backlog\":0}\r\n"
-                      b"Content-Length: %d\r\n\r\n" % len(text) + text)
-            writer.write(answer)
-            if common.TROUBLE and self.random.random() < SPOILT:
-                late = self.random.uniform(*LATE_S)
-                asyncio.get_running_loop().call_later(
-                    late, self.second_answer, writer, answer, request_id, late)
+            await asyncio.sleep(WORK_S)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await writer.drain()
 
-    def second_answer(self, writer, answer, request_id, late):
-        if not writer.is_closing():
-            self.record(f"{self.name}: second answer to {request_id} after {late * 1000:.1f} ms")
-            writer.write(answer)
-
 
 class Clients:
-    """Sends requests at random times on kept connections, one at a time on each."""
+    """Each sends one request after the other, on a connection that it keeps."""
 
-    def __init__(self, port, record, random_source):
+    def __init__(self, port):
         self.port = port
-        self.record = record
-        self.random = random_source
-        self.idle = []
         self.counts = {}
-        self.broken = []
-
-    async def request(self, number):
-        request_id = f"{number:08x}{self.random.getrandbits(32):08x}"
-        body = b"n" * self.random.randrange(50, 400)
-        tenant = self.random.choices(
-            ["ville-riviere", "lac-des-pins", "saint-aubin", "mont-gagnon"], [53, 24, 12, 11])[0]
-        message = (
-            f"POST /post-notice HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {request_id}\r\n"
-            f"X-Tenant-Id: {tenant}\r\nX-Timeout: 1200m\r\n"
-            f"Idempotency-Key: {self.random.getrandbits(128):032x}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        head = None
-        sent = time.monotonic()
-        while self.idle and head is None:
-            # A close that crosses the request: it is sent once more on another connection.
-            reader, writer = self.idle.pop()
-            if not reader.at_eof():
-                writer.write(message)
-                head = await asyncio.wait_for(common.read_head(reader), 5)
-        if head is None:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            writer.write(message)
-            head = await asyncio.wait_for(common.read_head(reader), 5)
-        if head is None:
-            raise common.CannotRun("a node closed a new connection without an answer")
-        answer = (await common.read_body(reader, head[1])).decode()
-        status = int(head[0].split(" ")[1])
-        self.counts[status] = self.counts.get(status, 0) + 1
-        self.record(f"client: {request_id} {status} {(time.monotonic() - sent) * 1000:.1f} ms "
-                    f"{answer!r}")
-        if status == 200 and answer != f"posted {request_id} {len(body)}":
-            self.broken.append(f"request {request_id} was answered with {answer!r}")
-        if head[1].get("connection", "").lower() == "close":
-            writer.close()
-        else:
-            self.idle.append((reader, writer))
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    async def send(self, number, end):
+        reader = writer = None
+        turn = 0
+        while time.monotonic() < end:
+            turn += 1
+            try:
+                if writer is None:
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", self.port, limit=1 << 20)
+                writer.write(
+                    f"POST /post-notice HTTP/1.1\r\nHost: api.internal\r\n"
+                    f"X-Request-ID: {number:08x}{turn:08x}\r\nX-Tenant-Id: ville-riviere\r\n"
+                    f"X-Timeout: 2400m\r\nIdempotency-Key: {number:016x}{turn:016x}\r\n"
+                    f"Content-Length: {BODY_BYTES}\r\n\r\n".encode() + b"n" * BODY_BYTES)
+                head = await common.read_head(reader)
+                if head is None:
+                    raise ConnectionError
+                await common.read_body(reader, head[1])
+            except (OSError, asyncio.IncompleteReadError):
+                self.count("no answer: the connection ended")
+                writer = None
+                await asyncio.sleep(0.5)
+                continue
+            self.count(head[0].split(" ")[1])
+            if head[1].get("connection", "").lower() == "close":
+                writer.close()
+                writer = None
+
+
+def anonymous_mb(pid):
+    """Returns the memory that is the process's own, without the mapped program."""
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    raise common.CannotRun("the system does not tell RssAnon")
 
 
 async def case(folder, record, nodes):
-    source = random.Random(6)
-    backends = [await Backend(f"s-{number}", record, source).start() for number in range(BACKENDS)]
-    members = [common.member(one.name, one.port, cell=number // 4)
+    backends = [await Backend(record).start() for _ in range(BACKENDS)]
+    members = [common.member(f"s-{number}", one.port, cell=number // 4)
                for number, one in enumerate(backends)]
     discovery = await common.Discovery(members, record).start()
     node = common.Node(folder, record, common.wire_settings(), discovery.port,
-                       known=discovery.whole())
+                       known=discovery.whole(), sockets=SOCKETS, memory_mb=MEMORY_MB)
     nodes.append(node)
     await node.ready()
-    clients = Clients(node.port, record, source)
-    tasks = []
+    clients = Clients(node.port)
     end = time.monotonic() + SECONDS
-    number = 0
+    tasks = [asyncio.create_task(clients.send(number, end)) for number in range(CLIENTS)]
+    broken = []
+    peak = 0.0
     while time.monotonic() < end:
-        tasks.append(asyncio.create_task(clients.request(number)))
-        number += 1
-        await asyncio.sleep(source.expovariate(REQUESTS_PER_SECOND))
-    await asyncio.gather(*tasks)
-    record(f"statuses {clients.counts}")
-    print(f"{number} requests, statuses {clients.counts}")
-    if clients.counts.get(200, 0) < number / 2:
-        raise common.CannotRun("less than half of the requests were served")
-    return clients.broken
+        if node.process.poll() is None:
+            now = anonymous_mb(node.process.pid)
+            if int(now) > int(peak):
+                record(f"node: {now:.1f} MB of its own; answers {clients.counts}")
+            peak = max(peak, now)
+            if now > MEMORY_MB:
+                # What the platform does: "Over memory_mb the node is killed."
+                broken.append(f"the node had {now:.1f} MB of its own, {MEMORY_MB} MB are its "
+                              "limit, and was killed for it")
+                node.signal(signal.SIGKILL)
+                node.process.wait()
+        await asyncio.sleep(0.02)
+    await asyncio.wait(tasks, timeout=5)
+    record(f"peak {peak:.1f} MB, answers {clients.counts}")
+    print(f"peak {peak:.1f} of {MEMORY_MB} MB, answers {clients.counts}")
+    if clients.counts.get("200", 0) < 100:
+        raise common.CannotRun("hardly any request was served")
+    return broken
 
 
 common.play(__file__, case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,12 @@
-"""A planned restart cuts off the end of large answers that clients read slowly."""
+"""A large request at a backend that hangs gets its final answer only after 10 s."""
 
 import asyncio
+import fcntl
 import importlib.util
-import signal
+import random
 import socket
+import struct
+import termios
 import time
 from pathlib import Path
 
@@ -12,14 +15,17 @@
 common = importlib.util.module_from_spec(SPEC)
 SPEC.loader.exec_module(common)
 
-CLIENTS = 40
-FIRST_BYTES, STEP_BYTES = 600_000, 4_000  # the answers' sizes: 0.60 to 0.76 MB
-READ_BYTES_PER_SECOND = 64_000
-SIGTERM_AFTER_S = 2.5
+BACKENDS = 12
+HUNG = 5  # of these; less than half
+CLIENTS = 100
+REQUESTS = 1  # of each client
+BODY_BYTES = (3_950_000, 4_350_000)
+TIMEOUT_S = 2.0  # X-Timeout
+LOST_AFTER_S = TIMEOUT_S + 0.5 + 0.05  # half a second later is still no loss; 50 ms of slack
 
 
 class Backend(common.Server):
-    """Answers at once; the path ends with the size of the answer."""
+    """Reads the whole request and answers at once."""
 
     def __init__(self, name, record):
         super().__init__()
@@ -28,74 +34,106 @@
 
     async def serve(self, reader, writer):
         while (head := await common.read_head(reader)) is not None:
-            await common.read_body(reader, head[1])
-            size = int(head[0].split(" ")[1].rsplit("/", 1)[1])
-            self.record(f"{self.name}: {head[1]['x-request-id']} answered with {size} bytes")
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
-            writer.write(bytes(number % 251 for number in range(1000)) * (size // 1000))
+            left = int(head[1]["content-length"])
+            while left:
+                data = await reader.read(min(left, 1 << 18))
+                if not data:
+                    return
+                left -= len(data)
+            self.record(f"{self.name}: served {head[1]['x-request-id']}")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstored")
             await writer.drain()
 
 
-async def client(port, number, record):
-    """Returns None, or what is wrong with the answer."""
+class HungBackend:
+    """Hangs: the system accepts connections and bytes as far as its buffers go, nobody reads."""
+
+    def __init__(self, name, record):
+        self.name = name
+        self.record = record
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+        self.connections = []
+
+    async def hang(self):
+        while True:
+            connection, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+            self.connections.append(connection)
+            self.record(f"{self.name}: hangs on a connection")
+
+
+def unacknowledged(connection):
+    """Returns how many bytes the client's system holds that the node's has not received."""
+    return struct.unpack("i", fcntl.ioctl(connection, termios.TIOCOUTQ, b"\0" * 4))[0]
+
+
+async def request(port, request_id, size, record):
+    """Returns None, or that the request was lost."""
     loop = asyncio.get_running_loop()
-    size = FIRST_BYTES + number * STEP_BYTES
-    request_id = f"{number:016x}"
     connection = socket.create_connection(("127.0.0.1", port))
     connection.setblocking(False)
-    await loop.sock_sendall(
-        connection,
-        f"POST /post-notice/{size} HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {request_id}\r\n"
-        f"X-Tenant-Id: ville-riviere\r\nX-Timeout: 2400m\r\n"
-        f"Idempotency-Key: {number:032x}\r\nContent-Length: 6\r\n\r\nnotice".encode())
-    received = b""
-    started = time.monotonic()
-    end = "the whole answer"
-    while True:
-        head, separator, body = received.partition(b"\r\n\r\n")
-        if separator and len(body) >= size:
+    head = (f"POST /post-notice HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {request_id}\r\n"
+            f"X-Tenant-Id: ville-riviere\r\nX-Timeout: {int(TIMEOUT_S * 1000)}m\r\n"
+            f"Idempotency-Key: {request_id}{request_id}\r\nContent-Length: {size}\r\n\r\n")
+    answer = asyncio.create_task(loop.sock_recv(connection, 4096))
+    writing = asyncio.create_task(loop.sock_sendall(connection, head.encode() + b"n" * size))
+    received = None  # when the node's system had received the last byte
+    while not answer.done():
+        if received is None and writing.done() and unacknowledged(connection) == 0:
+            received = time.monotonic()
+        if received is not None and time.monotonic() - received > 20:
             break
+        await asyncio.sleep(0.005)
+    ended = time.monotonic()
+    written = writing.done()
+    writing.cancel()
+    text = "no answer"
+    if answer.done():
         try:
-            data = await asyncio.wait_for(loop.sock_recv(connection, 6400), 15)
-        except (ConnectionError, asyncio.TimeoutError) as error:
-            end = repr(error)
-            break
-        if not data:
-            end = "end of the connection"
-            break
-        received += data
-        ahead = len(received) / READ_BYTES_PER_SECOND - (time.monotonic() - started)
-        await asyncio.sleep(max(0.0, ahead))
+            text = (answer.result().split(b"\r\n")[0]).decode() or "closed without an answer"
+        except OSError as error:
+            text = repr(error)
     connection.close()
-    status = head.split(b"\r\n")[0].decode()
-    record(f"client: {request_id} {status!r}, {len(body)} of {size} bytes, then {end}")
-    if status.startswith("HTTP/1.1 200") and body != (
-            bytes(one % 251 for one in range(1000)) * (size // 1000)):
-        return f"answer {request_id}: {len(body)} of {size} bytes, then {end}"
+    if received is None:
+        state = "written, and not received whole" if written else "not written whole"
+        record(f"client: {request_id} {size} bytes, {state} by the node's system: {text!r}")
+        return None
+    waited = ended - received
+    record(f"client: {request_id} {size} bytes, {text!r} {waited:.3f} s after the node's system "
+           f"had received the last byte")
+    if waited > LOST_AFTER_S or not answer.done() or not text.startswith("HTTP/1.1"):
+        return f"{request_id}, {size} bytes: {text!r} {waited:.2f} s after its last byte"
     return None
 
 
+async def client(port, number, record, source, broken):
+    for turn in range(REQUESTS):
+        size = source.randint(*BODY_BYTES)
+        broken.append(await request(port, f"{turn:02x}{number:014x}", size, record))
+
+
 async def case(folder, record, nodes):
-    backends = [await Backend(f"s-{number}", record).start() for number in range(4)]
+    source = random.Random(8)
+    backends = [await Backend(f"s-{number}", record).start() for number in range(BACKENDS)]
+    hanging = []
+    if common.TROUBLE:
+        for number in range(HUNG):
+            hung = HungBackend(backends[number].name, record)
+            hanging.append(asyncio.create_task(hung.hang()))
+            backends[number] = hung
     members = [common.member(one.name, one.port) for one in backends]
     discovery = await common.Discovery(members, record).start()
     node = common.Node(folder, record, common.wire_settings(), discovery.port,
                        known=discovery.whole())
     nodes.append(node)
     await node.ready()
-    tasks = [asyncio.create_task(client(node.port, number, record)) for number in range(CLIENTS)]
-    await asyncio.sleep(SIGTERM_AFTER_S)
-    if common.TROUBLE:
-        node.signal(signal.SIGTERM)
-        signalled = time.monotonic()
-        # SIGKILL is never sent before the node has ended by itself.
-        while node.process.poll() is None and time.monotonic() - signalled < 45:
-            await asyncio.sleep(0.02)
-        code = node.process.poll()
-        lasted = time.monotonic() - signalled
-        record(f"node ended with {code}, {lasted:.2f} s after SIGTERM")
-        print(f"the node ended with {code}, {lasted:.2f} s after SIGTERM")
-    return [wrong for wrong in await asyncio.gather(*tasks) if wrong]
+    broken = []
+    await asyncio.gather(*(client(node.port, number, record, source, broken)
+                           for number in range(CLIENTS)))
+    for task in hanging:
+        task.cancel()
+    return [one for one in broken if one]
 
 
 common.play(__file__, case)
