--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,7 +17,7 @@
 BACKENDS = 12
 SECONDS = 20
 BODY_BYTES = 65_536 if common.TROUBLE else 1_000  # a body holds at most 64 KiB
-WORK_S = 0.3
+WORK_S = 0.5
 
 
 class Backend(common.Server):
@@ -30,6 +30,7 @@
     async def serve(self, reader, writer):
         while (head := await common.read_head(reader)) is not None:
             body = await common.read_body(reader, head[1])
+            self.record(f"ran {head[1]['x-request-id']}, {len(body)} bytes")
             await asyncio.sleep(WORK_S)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await writer.drain()
@@ -38,11 +39,13 @@
 class Clients:
     """Each sends one request after the other, on a connection that it keeps."""
 
-    def __init__(self, port):
+    def __init__(self, port, record):
         self.port = port
+        self.record = record
         self.counts = {}
 
-    def count(self, what):
+    def count(self, request_id, what):
+        self.record(f"{request_id}: {what}")
         self.counts[what] = self.counts.get(what, 0) + 1
 
     async def send(self, number, end):
@@ -50,25 +53,27 @@
         turn = 0
         while time.monotonic() < end:
             turn += 1
+            request_id = f"{number:08x}{turn:08x}"
             try:
                 if writer is None:
                     reader, writer = await asyncio.open_connection(
                         "127.0.0.1", self.port, limit=1 << 20)
                 writer.write(
                     f"POST /post-notice HTTP/1.1\r\nHost: api.internal\r\n"
-                    f"X-Request-ID: {number:08x}{turn:08x}\r\nX-Tenant-Id: ville-riviere\r\n"
-                    f"X-Timeout: 2400m\r\nIdempotency-Key: {number:016x}{turn:016x}\r\n"
+                    f"X-Request-ID: {request_id}\r\nX-Tenant-Id: ville-riviere\r\n"
+                    f"X-Timeout: 1300m\r\nIdempotency-Key: {number:016x}{turn:016x}\r\n"
                     f"Content-Length: {BODY_BYTES}\r\n\r\n".encode() + b"n" * BODY_BYTES)
+                self.record(f"{request_id}: sent {BODY_BYTES} bytes")
                 head = await common.read_head(reader)
                 if head is None:
                     raise ConnectionError
                 await common.read_body(reader, head[1])
             except (OSError, asyncio.IncompleteReadError):
-                self.count("no answer: the connection ended")
+                self.count(request_id, "no answer: the connection ended")
                 writer = None
                 await asyncio.sleep(0.5)
                 continue
-            self.count(head[0].split(" ")[1])
+            self.count(request_id, head[0].split(" ")[1])
             if head[1].get("connection", "").lower() == "close":
                 writer.close()
                 writer = None
@@ -91,7 +96,7 @@
                        known=discovery.whole(), sockets=SOCKETS, memory_mb=MEMORY_MB)
     nodes.append(node)
     await node.ready()
-    clients = Clients(node.port)
+    clients = Clients(node.port, record)
     end = time.monotonic() + SECONDS
     tasks = [asyncio.create_task(clients.send(number, end)) for number in range(CLIENTS)]
     broken = []
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,11 +1,8 @@
 """Slow uploads that the pages allow hold every place: other requests get no answer and no refusal."""
 
 import asyncio
-import fcntl
 import importlib.util
 import socket
-import struct
-import termios
 import time
 from pathlib import Path
 
@@ -20,26 +17,27 @@
 OTHER_CLIENTS = 20  # 210 clients together, less than a third of the descriptors
 SLOW_BODY_BYTES = 1_000_000
 BYTES_PER_SECOND = 64_000
-TIMEOUT_S = 1.2  # X-Timeout of the other requests
+TIMEOUT_S = 1.2  # X-Timeout
 LOST_AFTER_S = TIMEOUT_S + 0.5 + 0.05  # half a second later is still no loss; 50 ms of slack
-WATCHED_S = 6  # how long each of the other clients waits
+WATCHED_S = LOST_AFTER_S + 0.05  # then the other clients close
 
 
 class Backend(common.Server):
     """Reads the whole request and answers at once."""
 
+    def __init__(self, name, record):
+        super().__init__()
+        self.name = name
+        self.record = record
+
     async def serve(self, reader, writer):
         while (head := await common.read_head(reader)) is not None:
             await common.read_body(reader, head[1])
+            self.record(f"{self.name}: ran {head[1]['x-request-id']}")
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nposted")
             await writer.drain()
 
 
-def unacknowledged(connection):
-    """Returns how many bytes the client's system holds that the node's has not received."""
-    return struct.unpack("i", fcntl.ioctl(connection, termios.TIOCOUTQ, b"\0" * 4))[0]
-
-
 def head_of(request_id, timeout_s, size):
     return (f"POST /post-notice HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {request_id}\r\n"
             f"X-Tenant-Id: ville-riviere\r\nX-Timeout: {int(timeout_s * 1000)}m\r\n"
@@ -54,8 +52,9 @@
     connection.setblocking(False)
     started = time.monotonic()
     text = "no answer"
+    record(f"upload {number}: begins, {SLOW_BODY_BYTES} bytes")
     try:
-        await loop.sock_sendall(connection, head_of(f"aa{number:014x}", 2.4, SLOW_BODY_BYTES))
+        await loop.sock_sendall(connection, head_of(f"aa{number:014x}", TIMEOUT_S, SLOW_BODY_BYTES))
         sent = 0
         while sent < SLOW_BODY_BYTES:
             part = min(6400, SLOW_BODY_BYTES - sent)
@@ -84,15 +83,18 @@
     try:
         await loop.sock_sendall(
             connection, head_of(f"{number:016x}", TIMEOUT_S, 200) + b"n" * 200)
+        record(f"request {number}: sent")
         answer = asyncio.create_task(loop.sock_recv(connection, 4096))
-        while not answer.done() and time.monotonic() - started < WATCHED_S:
-            if received is None and unacknowledged(connection) == 0:
+        while not answer.done() and time.monotonic() - (received or time.monotonic()) < WATCHED_S \
+                and time.monotonic() - started < 2 * WATCHED_S:
+            if received is None and common.unacknowledged(connection) == 0:
                 received = time.monotonic()
             await asyncio.sleep(0.005)
         if answer.done():
             text = answer.result().split(b"\r\n")[0].decode() or "closed"
         else:
             answer.cancel()
+            await asyncio.wait([answer])
     except OSError as error:
         text = repr(error)
     ended = time.monotonic()
@@ -106,8 +108,8 @@
 
 
 async def case(folder, record, nodes):
-    backends = [await Backend().start() for _ in range(12)]
-    members = [common.member(f"s-{number}", one.port) for number, one in enumerate(backends)]
+    backends = [await Backend(f"s-{number}", record).start() for number in range(12)]
+    members = [common.member(one.name, one.port) for one in backends]
     discovery = await common.Discovery(members, record).start()
     node = common.Node(folder, record, common.wire_settings(), discovery.port,
                        known=discovery.whole(), sockets=SOCKETS, memory_mb=MEMORY_MB)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,12 +1,9 @@
 """A large request at a backend that hangs gets its final answer only after 10 s."""
 
 import asyncio
-import fcntl
 import importlib.util
 import random
 import socket
-import struct
-import termios
 import time
 from pathlib import Path
 
@@ -20,8 +17,9 @@
 CLIENTS = 100
 REQUESTS = 1  # of each client
 BODY_BYTES = (3_950_000, 4_350_000)
-TIMEOUT_S = 2.0  # X-Timeout
+TIMEOUT_S = 1.2  # X-Timeout
 LOST_AFTER_S = TIMEOUT_S + 0.5 + 0.05  # half a second later is still no loss; 50 ms of slack
+WATCHED_S = 12  # each client sends one request alone, and watches for its answer this long
 
 
 class Backend(common.Server):
@@ -63,11 +61,6 @@
             self.record(f"{self.name}: hangs on a connection")
 
 
-def unacknowledged(connection):
-    """Returns how many bytes the client's system holds that the node's has not received."""
-    return struct.unpack("i", fcntl.ioctl(connection, termios.TIOCOUTQ, b"\0" * 4))[0]
-
-
 async def request(port, request_id, size, record):
     """Returns None, or that the request was lost."""
     loop = asyncio.get_running_loop()
@@ -76,20 +69,24 @@
     head = (f"POST /post-notice HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {request_id}\r\n"
             f"X-Tenant-Id: ville-riviere\r\nX-Timeout: {int(TIMEOUT_S * 1000)}m\r\n"
             f"Idempotency-Key: {request_id}{request_id}\r\nContent-Length: {size}\r\n\r\n")
+    record(f"client: {request_id} begins, {size} bytes")
     answer = asyncio.create_task(loop.sock_recv(connection, 4096))
     writing = asyncio.create_task(loop.sock_sendall(connection, head.encode() + b"n" * size))
     received = None  # when the node's system had received the last byte
     while not answer.done():
-        if received is None and writing.done() and unacknowledged(connection) == 0:
+        if received is None and writing.done() and common.unacknowledged(connection) == 0:
             received = time.monotonic()
-        if received is not None and time.monotonic() - received > 20:
+        if received is not None and time.monotonic() - received > WATCHED_S:
             break
         await asyncio.sleep(0.005)
     ended = time.monotonic()
+    answered = answer.done()
     written = writing.done()
-    writing.cancel()
+    for task in (answer, writing):
+        task.cancel()
+    await asyncio.wait([answer, writing])
     text = "no answer"
-    if answer.done():
+    if answered:
         try:
             text = (answer.result().split(b"\r\n")[0]).decode() or "closed without an answer"
         except OSError as error:
@@ -102,7 +99,7 @@
     waited = ended - received
     record(f"client: {request_id} {size} bytes, {text!r} {waited:.3f} s after the node's system "
            f"had received the last byte")
-    if waited > LOST_AFTER_S or not answer.done() or not text.startswith("HTTP/1.1"):
+    if waited > LOST_AFTER_S or not answered or not text.startswith("HTTP/1.1"):
         return f"{request_id}, {size} bytes: {text!r} {waited:.2f} s after its last byte"
     return None
 
--- a/review/common-2.py
+++ b/review/common-2.py
@@ -6,14 +6,18 @@
 """
 
 import asyncio
+import ctypes
+import fcntl
 import json
 import os
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
+import termios
 import time
 from pathlib import Path
 
@@ -46,6 +50,11 @@
         return probe.getsockname()[1]
 
 
+def unacknowledged(connection):
+    """Returns how many bytes the client's system holds that the node's has not received."""
+    return struct.unpack("i", fcntl.ioctl(connection, termios.TIOCOUTQ, b"\0" * 4))[0]
+
+
 def wire_settings(**changes):
     """The settings that WIRE gives as an example, of montreal-main, with changes by path."""
     settings = {
@@ -258,7 +267,8 @@
         with open(self.log, "wb") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", deploy_line("run")], cwd=ROOT, env=environment,
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=end_with_parent)
         record(f"node {self.tag}: started, listens on {self.port}")
 
     async def ready(self, limit=10.0):
@@ -290,6 +300,15 @@
         self.process.wait()
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Runs in a new node before its exec: the system kills the node when the case ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def deploy_line(key):
     for line in (ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8").splitlines():
         name, _, value = line.partition("=")
@@ -298,37 +317,63 @@
     raise CannotRun(f"deploy/balancer.toml has no {key}")
 
 
+SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP, signal.SIGALRM)
+BROKEN = 11  # run.sh exits with 1 for it: an interpreter that fails by itself ends with 1 as well
+
+
 def play(file, case):
-    """Runs `case(folder, record, nodes)`, which returns the broken rules, and exits by them.
+    """Runs `case(folder, record, nodes)`, which returns the broken rules, and exits by them: with
+    0, with BROKEN, or with 2 if the case could not run.
 
-    `nodes` is a list; every node in it is ended at the end.
+    `nodes` is a list; every node in it is ended at the end. If the case itself is killed, the
+    system kills the nodes, and a waiting shell removes the folder.
     """
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends the nodes as well.
-    folder = Path(tempfile.mkdtemp(prefix="case-"))
-    record = Record(Path(file).resolve().parent)
-    nodes = []
+    # A signal ends this process at once: the system kills the nodes then, and the shell below
+    # removes the folder.
+    for number in SIGNALS:
+        signal.signal(number, lambda *_: os._exit(2))
+    signal.alarm(115)
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGTERM)  # The end of run.sh, however it comes, ends this.
+    if os.environ.get("RUN_SH", str(os.getppid())) != str(os.getppid()):
+        os._exit(2)
+    record = nodes = folder = remover = None
+    code = 2
     try:
+        folder = Path(tempfile.mkdtemp(prefix="case-"))
+        remover = subprocess.Popen(
+            ["/bin/sh", "-c", 'read -r _; sleep 0.2; rm -rf "$0"', str(folder)],
+            stdin=subprocess.PIPE, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+            start_new_session=True)
+        record = Record(Path(file).resolve().parent)
+        nodes = []
         if not (ROOT / "target" / "release" / "balancer-proxy").exists():
             raise CannotRun("the node is not built: run the deploy file's build")
         record(f"TROUBLE={int(TROUBLE)}")
-        broken = asyncio.run(asyncio.wait_for(case(folder, record, nodes), 110))
-    except Exception as error:  # Whatever else fails says nothing of the rule.
-        record(f"could not run: {error!r}")
-        print(f"could not run: {error!r}")
-        code = 2
-    else:
+        loop = asyncio.new_event_loop()
+        asyncio.set_event_loop(loop)
+        broken = loop.run_until_complete(asyncio.wait_for(case(folder, record, nodes), 110))
         for line in broken:
             record(f"BROKEN {line}")
         for line in broken[:5]:
             print(f"broken: {line}")
         print(f"{len(broken)} broken" if broken else "held")
-        code = 1 if broken else 0
+        code = BROKEN if broken else 0
+    except Exception as error:  # Whatever else fails says nothing of the rule.
+        print(f"could not run: {error!r}")
+        if record is not None:
+            record(f"could not run: {error!r}")
     finally:
-        for node in nodes:
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+        for node in nodes or []:
             node.stop()
-            if node.log.exists():
-                record(f"log of {node.tag}:")
-                for line in node.log.read_text(errors="replace").splitlines()[-200:]:
-                    record(f"  {line}")
-        shutil.rmtree(folder, ignore_errors=True)
-    sys.exit(code)
+            record(f"log of {node.tag}:")
+            for line in node.log.read_text(errors="replace").splitlines()[-200:]:
+                record(f"  {line}")
+        if remover is not None:
+            remover.stdin.close()
+            remover.wait()
+        elif folder is not None:
+            shutil.rmtree(folder, ignore_errors=True)
+    sys.stdout.flush()
+    os._exit(code)  # A node that is not in the list ends with this process.
