Accept connections without a free place, and refuse their requests in time

Cause: a connection was accepted only with a free slot, and a request with an incomplete body kept its slot for 2.8 s whatever came.

Change: an eighth of the slots take connections for which there is neither another slot nor memory. Their requests are refused with 503, unless a slot gets free while others are evicted; they linger for 50 ms at most.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -50,6 +50,10 @@
     delivery: OnceCell<Delivery>,
     /// Reservation of the memory by which the read buffer has grown.
     enlarged_buffer: EnlargedBuffer,
+    /// When bytes of the body that is being buffered were last received; `None` while none is.
+    body_progress: Cell<Option<Instant>>,
+    /// Notified when the request whose body is being buffered is to be refused.
+    body_evicted: Notify,
     /// Notified when the state changes from outside the task that serves the connection.
     state_changed: Notify,
 }
@@ -77,6 +81,8 @@
             last_request_rejected: Cell::new(false),
             upload_unfinished: Cell::new(false),
             delivery: OnceCell::new(),
+            body_progress: Cell::new(None),
+            body_evicted: Notify::new(),
             enlarged_buffer: EnlargedBuffer::new(memory),
             state_changed: Notify::new(),
         }
@@ -131,6 +137,35 @@
         self.last_request_rejected.get()
     }
 
+    /// Records that the body of a request is being buffered from now on.
+    pub fn start_receiving_body(&self) {
+        self.body_progress.set(Some(Instant::now()));
+    }
+
+    /// Records that no body is being buffered any more.
+    pub fn finish_receiving_body(&self) {
+        self.body_progress.set(None);
+    }
+
+    /// Returns since when the client has sent nothing of the body that is being buffered; `None` if none
+    /// is, or if there are unread bytes of it.
+    pub fn body_stalled_since(&self) -> Option<Instant> {
+        self.body_progress
+            .get()
+            .filter(|_| is_open_without_unread_bytes(&self.socket))
+    }
+
+    /// Has the request refused whose body is being buffered.
+    pub fn evict_body(&self) {
+        self.body_progress.set(None);
+        self.body_evicted.notify_waiters();
+    }
+
+    /// Waits for [`ClientConnection::evict_body`].
+    pub async fn body_evicted(&self) {
+        self.body_evicted.notified().await;
+    }
+
     /// Records that the response is complete before all of the request was read.
     pub fn set_upload_unfinished(&self) {
         self.upload_unfinished.set(true);
--- a/crates/proxy/src/downstream/connection/request_policy.rs
+++ b/crates/proxy/src/downstream/connection/request_policy.rs
@@ -41,6 +41,12 @@
         self.enlarged_buffer.try_reserve()
     }
 
+    fn body_bytes_received(&self) {
+        if self.body_progress.get().is_some() {
+            self.body_progress.set(Some(Instant::now()));
+        }
+    }
+
     fn bytes_written(&self) {
         if self.state.get().is_flushing() {
             self.record_progress();
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// Interval at which eviction is repeated while no slot is free and no connection can be closed
 /// yet.
@@ -28,10 +28,25 @@
 /// Memory in bytes that one client connection holds besides its request: its state and its buffers.
 pub const CONNECTION_BYTES: usize = 24 << 10;
 
+/// How long a request on a surplus connection waits for the slot of a connection that is being evicted.
+const MAX_SURPLUS_WAIT: Duration = Duration::from_millis(100);
+
+/// The table keeps the capacity divided by this for connections beyond the others, whose requests are
+/// refused.
+const SURPLUS_DIVISOR: usize = 8;
+
 /// The permit to hold one client connection open; dropping it frees the slot.
 pub struct ConnectionSlot {
     _permit: OwnedSemaphorePermit,
-    _memory: Reservation,
+    /// `None` for a surplus connection, which is only open to be told that there is no room.
+    memory: Option<Reservation>,
+}
+
+impl ConnectionSlot {
+    /// Whether the slot is for a connection whose requests are refused unless there is room by then.
+    pub fn is_surplus(&self) -> bool {
+        self.memory.is_none()
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -40,6 +55,9 @@
 /// Holds all open client connections, and hands out the slots for them.
 pub struct ConnectionTable {
     slots: ResizableSemaphore,
+    /// Slots for connections that are accepted while no other slot is free, so that their clients are
+    /// answered.
+    surplus_slots: ResizableSemaphore,
     /// From which each connection reserves [`CONNECTION_BYTES`].
     memory: Rc<MemoryBudget>,
     connections: RefCell<FxHashMap<ConnectionId, Rc<ClientConnection>>>,
@@ -53,7 +71,8 @@
     /// Creates an empty table for at most `capacity` connections, which reserve `memory`.
     pub fn new(capacity: usize, memory: Rc<MemoryBudget>, metrics: Rc<Metrics>) -> Rc<Self> {
         Rc::new(ConnectionTable {
-            slots: ResizableSemaphore::new(capacity),
+            slots: ResizableSemaphore::new(capacity - surplus_capacity(capacity)),
+            surplus_slots: ResizableSemaphore::new(surplus_capacity(capacity)),
             memory,
             connections: RefCell::default(),
             next_id: Cell::new(0),
@@ -64,7 +83,8 @@
 
     /// Changes the number of slots to `capacity`, and evicts connections if more are open.
     pub fn resize(&self, capacity: usize) {
-        self.slots.resize(capacity);
+        self.slots.resize(capacity - surplus_capacity(capacity));
+        self.surplus_slots.resize(surplus_capacity(capacity));
         if self.slots.is_over_capacity() {
             self.evict();
         }
@@ -75,30 +95,61 @@
         &self.memory
     }
 
-    /// Waits for a free slot and for the memory of a connection. While there is none, connections that
-    /// owe no response are evicted, at each [`EVICTION_RETRY_INTERVAL`], so that they do not keep new
-    /// ones out.
+    /// Waits for a free slot and for the memory of a connection, or for a surplus slot. While there is
+    /// none, connections that owe no response are evicted, at each [`EVICTION_RETRY_INTERVAL`], so that
+    /// they do not keep new ones out.
     pub async fn acquire_slot(&self) -> ConnectionSlot {
         loop {
             if let Some(slot) = self.try_acquire_slot() {
                 return slot;
             }
             self.evict();
+            if let Some(slot) = self.try_acquire_surplus_slot() {
+                return slot;
+            }
             let closed = self.connection_closed.notified();
             let _ = timeout(EVICTION_RETRY_INTERVAL, closed).await;
         }
     }
 
+    fn try_acquire_surplus_slot(&self) -> Option<ConnectionSlot> {
+        if self.surplus_slots.is_over_capacity() {
+            return None;
+        }
+        Some(ConnectionSlot {
+            _permit: self.surplus_slots.try_acquire()?,
+            memory: None,
+        })
+    }
+
+    /// Waits a little for a slot that is no surplus slot, if connections can be evicted for it. Returns
+    /// `None` if none gets free.
+    pub async fn slot_for_surplus_connection(&self) -> Option<ConnectionSlot> {
+        let deadline = Instant::now() + MAX_SURPLUS_WAIT;
+        loop {
+            if let Some(slot) = self.try_acquire_slot() {
+                return Some(slot);
+            }
+            let is_any_evicted = self.evict();
+            if !is_any_evicted || Instant::now() >= deadline {
+                return None;
+            }
+            tokio::time::sleep(EVICTION_RETRY_INTERVAL).await;
+        }
+    }
+
     /// Returns a slot, unless none is free or there is no memory for a connection.
     fn try_acquire_slot(&self) -> Option<ConnectionSlot> {
         if self.slots.is_over_capacity() {
             return None;
         }
+        let permit = self.slots.try_acquire()?;
+        let memory = self
+            .memory
+            .try_reserve(CONNECTION_BYTES, Purpose::NewWork)?;
         Some(ConnectionSlot {
-            _permit: self.slots.try_acquire()?,
-            _memory: self
-                .memory
-                .try_reserve(CONNECTION_BYTES, Purpose::NewWork)?,
+            _permit: permit,
+            memory: Some(memory),
         })
     }
 
@@ -164,13 +215,19 @@
         }
     }
 
-    /// Evicts connections, up to the limit that [`EVICTION_DIVISOR`] sets.
-    fn evict(&self) {
+    /// Evicts connections, up to the limit that [`EVICTION_DIVISOR`] sets. Returns whether it evicted
+    /// any.
+    fn evict(&self) -> bool {
         let limit = self.slots.capacity().div_ceil(EVICTION_DIVISOR);
-        evict(self.connections.borrow().values(), limit, &self.metrics);
+        evict(self.connections.borrow().values(), limit, &self.metrics) > 0
     }
 }
 
+/// Returns how many of `capacity` slots are for surplus connections.
+fn surplus_capacity(capacity: usize) -> usize {
+    capacity / SURPLUS_DIVISOR
+}
+
 /// A connection in the table, with its slot. Dropping it removes the connection from the table.
 pub struct OpenConnection {
     table: Rc<ConnectionTable>,
@@ -186,6 +243,11 @@
         &self.connection
     }
 
+    /// Whether the connection was accepted while there was no room for it.
+    pub fn is_surplus(&self) -> bool {
+        self.slot.as_ref().is_some_and(ConnectionSlot::is_surplus)
+    }
+
     /// Returns the table that holds the connection.
     pub fn table(&self) -> &ConnectionTable {
         &self.table
--- a/crates/proxy/src/downstream/connection_task.rs
+++ b/crates/proxy/src/downstream/connection_task.rs
@@ -5,14 +5,15 @@
 use crate::downstream::connection_state::ConnectionState;
 use crate::downstream::connection_table::OpenConnection;
 use crate::downstream::lingering_close::linger;
-use crate::downstream::request_handler::RequestHandler;
+use crate::downstream::request_handler::{is_health_check, RequestHandler};
+use crate::downstream::request_head::RequestError;
 use crate::downstream::responses::{rejection, rejection_reason, set_connection_close, ClientBody};
 use crate::http1::head_filter::HeadFilter;
 use crate::metrics::Metrics;
 use crate::send_invariants::Invariant;
 use crate::shutdown::ShutdownPhase;
 use crate::upstream::MAX_WRITE_BUFFER_BYTES;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,6 +29,9 @@
 /// anew if a response is still owed at its end.
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a surplus connection lingers: others wait for its slot to be told that there is no room.
+const SURPLUS_LINGER_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Serves one client connection, from its accept until it ends.
 pub struct ConnectionTask {
     open_connection: OpenConnection,
@@ -102,7 +106,11 @@
                 _ => {}
             }
         }
-        linger(connection).await;
+        if self.open_connection.is_surplus() {
+            let _ = timeout(SURPLUS_LINGER_TIMEOUT, linger(connection)).await;
+        } else {
+            linger(connection).await;
+        }
     }
 
     /// Returns the response to a request from hyper, and records both in the connection's state.
@@ -133,7 +141,8 @@
         response
     }
 
-    /// Handles a request whose head was valid. A chunked request is the last one of its connection.
+    /// Handles a request whose head was valid. A chunked request is the last one of its connection. One
+    /// on a surplus connection is refused, unless there is room for it by now.
     async fn handle(
         &self,
         request: Request<Incoming>,
@@ -143,11 +152,24 @@
         // request would begin: what follows the body is never read as a request.
         let is_last_request = request.headers().contains_key(header::TRANSFER_ENCODING);
         let connection = self.open_connection.connection();
+        let is_surplus = self.open_connection.is_surplus();
+        let _slot = if is_surplus && !is_health_check(&request) {
+            let table = self.open_connection.table();
+            let Some(slot) = table.slot_for_surplus_connection().await else {
+                if !request.body().is_end_stream() {
+                    connection.set_upload_unfinished();
+                }
+                return rejection(RequestError::Overloaded);
+            };
+            Some(slot)
+        } else {
+            None
+        };
         let mut response = self
             .handler
             .handle(request, head_started_at, connection)
             .await;
-        if is_last_request {
+        if is_last_request || is_surplus {
             set_connection_close(&mut response);
         }
         response
--- a/crates/proxy/src/downstream/request_handler.rs
+++ b/crates/proxy/src/downstream/request_handler.rs
@@ -44,6 +44,12 @@
 /// Lowest rate at which a client may send a body that is buffered.
 const MIN_BODY_BYTES_PER_SECOND: f64 = (32 << 10) as f64;
 
+/// Path on which the node tells whether it is ready.
+const READY_PATH: &str = "/health/ready";
+
+/// Path on which the node tells the revision of its endpoint list.
+const LIVE_PATH: &str = "/health/live";
+
 /// Memory in bytes that a request holds besides its body: its head, its state and the connection of its
 /// attempt.
 const REQUEST_BYTES: usize = (24 << 10) + pool::CONNECTION_BYTES;
@@ -110,7 +116,7 @@
     /// Returns the response to a health check; `None` if the request is none.
     fn health_response(&self, method: &Method, uri: &Uri) -> Option<Response<ClientBody>> {
         match (method, uri.path()) {
-            (&Method::GET, "/health/ready") => {
+            (&Method::GET, READY_PATH) => {
                 let is_ready = self.endpoint_updates.is_ready()
                     && *self.phase.borrow() == ShutdownPhase::Serving;
                 let status = if is_ready {
@@ -120,7 +126,7 @@
                 };
                 Some(plain_text(status, ""))
             }
-            (&Method::GET, "/health/live") => {
+            (&Method::GET, LIVE_PATH) => {
                 let revision = self.endpoint_updates.revision();
                 Some(plain_text(StatusCode::OK, format!("list {revision}\n")))
             }
@@ -153,7 +159,14 @@
             memory: &self.memory,
             memory_deadline,
         };
-        let received = receive(body, &receiving, connection).await?;
+        connection.start_receiving_body();
+        let received = tokio::select! {
+            biased;
+            received = receive(body, &receiving, connection) => received,
+            () = connection.body_evicted() => Err(overloaded(connection)),
+        };
+        connection.finish_receiving_body();
+        let received = received?;
         let (due, remaining) = (received.due, received.remaining);
         let upload = received.body.upload().cloned();
         let pending = self
@@ -221,6 +234,12 @@
     }
 }
 
+/// Whether a request asks for the state of the node, and is not forwarded.
+pub fn is_health_check<B>(request: &Request<B>) -> bool {
+    let path = request.uri().path();
+    request.method() == Method::GET && [READY_PATH, LIVE_PATH].contains(&path)
+}
+
 /// Reserves memory for a request, or marks its connection as having an unfinished upload.
 ///
 /// # Errors
--- a/crates/proxy/src/http1/head_filter.rs
+++ b/crates/proxy/src/http1/head_filter.rs
@@ -79,6 +79,9 @@
         false
     }
 
+    /// Called when bytes of a body have been received.
+    fn body_bytes_received(&self) {}
+
     /// Called when the socket has taken bytes.
     fn bytes_written(&self) {}
 
@@ -187,6 +190,9 @@
                 Err(error) if is_retryable(&error) => {}
                 read => {
                     self.read_at = Instant::now();
+                    if matches!(self.expected, Expected::Body(_) | Expected::Unsized) {
+                        self.policy.body_bytes_received();
+                    }
                     return Poll::Ready(read.map(|length| match length {
                         0 => ReadStep::EndOfStream,
                         _ => ReadStep::Progress,
