Count a request's time from its last byte's arrival, read or not

Cause: the deadline of a streamed body counted from when the node reads the last byte. It reads nothing while the backend takes nothing or while an attempt connects, so that the end lay in the system's buffer.

Evidence: the new test unread_uploads fails before: 3,400,000 bytes, received whole, no answer within 2.5 s, at a backend that reads nothing with a receive buffer of 8 KiB. With backends that stop at once or after 100,000 bytes, by length and chunked, small and large receive buffers, all are answered in time now; backends that go on reading serve them all.

Change: the filter counts what is to be read of a body, and the system is asked every 20 ms how much lies unread. If that is all, the last byte has arrived.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -8,6 +8,7 @@
 
 use crate::downstream::connection_state::ConnectionState;
 use crate::downstream::delivery::Delivery;
+use crate::downstream::unread_body::UnreadBody;
 use crate::http1::enlarged_buffer::EnlargedBuffer;
 use crate::http1::error::MessageError;
 use crate::memory_budget::MemoryBudget;
@@ -50,6 +51,8 @@
     delivery: OnceCell<Delivery>,
     /// Reservation of the memory by which the read buffer has grown.
     enlarged_buffer: EnlargedBuffer,
+    /// What the client still has to send of the body of the request in flight.
+    unread_body: UnreadBody,
     /// When bytes of the body that is being buffered were last received; `None` while none is.
     body_progress: Cell<Option<Instant>>,
     /// Notified when the request whose body is being buffered is to be refused.
@@ -81,6 +84,7 @@
             last_request_rejected: Cell::new(false),
             upload_unfinished: Cell::new(false),
             delivery: OnceCell::new(),
+            unread_body: UnreadBody::default(),
             body_progress: Cell::new(None),
             body_evicted: Notify::new(),
             enlarged_buffer: EnlargedBuffer::new(memory),
@@ -137,6 +141,12 @@
         self.last_request_rejected.get()
     }
 
+    /// Whether the system has received the last byte of the request in flight, see
+    /// [`UnreadBody::has_arrived`].
+    pub fn request_has_arrived(&self) -> bool {
+        self.unread_body.has_arrived(&self.socket)
+    }
+
     /// Records that the body of a request is being buffered from now on.
     pub fn start_receiving_body(&self) {
         self.body_progress.set(Some(Instant::now()));
--- a/crates/proxy/src/downstream/connection/request_policy.rs
+++ b/crates/proxy/src/downstream/connection/request_policy.rs
@@ -41,7 +41,13 @@
         self.enlarged_buffer.try_reserve()
     }
 
-    fn body_bytes_received(&self) {
+    fn body_started(&self, length: Option<u64>, received: &[u8]) {
+        self.unread_body.start(length);
+        self.unread_body.record_read(received);
+    }
+
+    fn body_bytes_received(&self, bytes: &[u8]) {
+        self.unread_body.record_read(bytes);
         if self.body_progress.get().is_some() {
             self.body_progress.set(Some(Instant::now()));
         }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -14,3 +14,4 @@
 mod request_handler;
 mod request_head;
 mod responses;
+mod unread_body;
--- a/crates/proxy/src/downstream/request_handler.rs
+++ b/crates/proxy/src/downstream/request_handler.rs
@@ -44,6 +44,9 @@
 /// Lowest rate at which a client may send a body that is buffered.
 const MIN_BODY_BYTES_PER_SECOND: f64 = (32 << 10) as f64;
 
+/// Interval at which the system is asked whether the last byte of a request has arrived unread.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Path on which the node tells whether it is ready.
 const READY_PATH: &str = "/health/ready";
 
@@ -151,12 +154,14 @@
         let head = RequestHead::parse(&parts, names, &self.idempotency_by_class)?;
         let margin = MAX_TRANSIT_MARGIN.min(head.timeout / TRANSIT_MARGIN_DIVISOR);
         let timeout = head.timeout.saturating_sub(margin);
-        let memory_deadline = Instant::now() + head.timeout / MEMORY_WAIT_DIVISOR;
+        let waiting_since = Instant::now();
+        let memory_deadline = waiting_since + head.timeout / MEMORY_WAIT_DIVISOR;
         let _memory = reserve(&self.memory, REQUEST_BYTES, memory_deadline, connection).await?;
         let receiving = ReceiveLimits {
             head_started_at,
             timeout,
             memory: &self.memory,
+            waiting_since,
             memory_deadline,
         };
         connection.start_receiving_body();
@@ -191,7 +196,7 @@
                 pending.response(overdue).await
             }
             Some(upload) => {
-                let overdue = self.streaming_overdue(id, upload, remaining + grace);
+                let overdue = self.streaming_overdue(id, upload, remaining + grace, connection);
                 pending.response(overdue).await
             }
         };
@@ -204,14 +209,38 @@
     }
 
     /// Waits until the response to a request with a streamed body is overdue: until `time_limit`
-    /// after the end of the upload. Reports a complete upload to the dispatcher as soon as it ends.
-    async fn streaming_overdue(&self, id: RequestId, upload: &Upload, time_limit: Duration) {
-        upload.ended().await;
-        if upload.is_complete() {
+    /// after its last byte has arrived. Reports to the dispatcher that it has, as soon as that is known.
+    async fn streaming_overdue(
+        &self,
+        id: RequestId,
+        upload: &Upload,
+        time_limit: Duration,
+        connection: &ClientConnection,
+    ) {
+        let arrived_at = tokio::select! {
+            biased;
+            arrived_at = upload.arrived() => arrived_at,
+            arrived_at = arrival_of_unread(connection) => {
+                upload.record_arrival(arrived_at);
+                arrived_at
+            }
+        };
+        if upload.error().is_none() {
             self.dispatcher.request_body_received(id);
         }
-        tokio::time::sleep(time_limit).await;
+        tokio::time::sleep_until(arrived_at + time_limit).await;
+    }
+}
+
+/// Waits until the system has received the last byte of the request in flight. Returns the earliest
+/// instant at which it may have.
+async fn arrival_of_unread(connection: &ClientConnection) -> Instant {
+    let mut not_arrived_at = Instant::now();
+    while !connection.request_has_arrived() {
+        not_arrived_at = Instant::now();
+        tokio::time::sleep(ARRIVAL_CHECK_INTERVAL).await;
     }
+    not_arrived_at
 }
 
 /// Checks whether a streamed request body was read completely by the time of the response, and
@@ -267,6 +296,8 @@
     /// The client's timeout less the transit margin.
     timeout: Duration,
     memory: &'a Rc<MemoryBudget>,
+    /// Since when the request has waited for memory, and nobody has read its body.
+    waiting_since: Instant,
     /// Until when the request waits for memory.
     memory_deadline: Instant,
 }
@@ -285,11 +316,15 @@
     let length = body.size_hint().exact();
     let memory = reserve(limits.memory, 0, limits.memory_deadline, connection).await?;
     let mut buffer = BodyBuffer::new(length, memory);
+    let arrived_at = connection
+        .request_has_arrived()
+        .then_some(limits.waiting_since);
     let part = buffer_in_time(&mut buffer, &mut body, limits.head_started_at).await?;
-    // The timeout counts from the request's last byte. That of a streamed body has not been
+    // The timeout counts from the request's last byte. That of a streamed body may not have been
     // received yet, so that all of the timeout is left.
     let complete_at = connection
         .request_complete_at()
+        .or(arrived_at)
         .unwrap_or_else(Instant::now);
     let remaining = limits.timeout.saturating_sub(complete_at.elapsed());
     let buffer = buffer.into_bytes();
--- a/crates/proxy/src/http1/head_filter.rs
+++ b/crates/proxy/src/http1/head_filter.rs
@@ -79,8 +79,16 @@
         false
     }
 
-    /// Called when bytes of a body have been received.
-    fn body_bytes_received(&self) {}
+    /// Called when these bytes of a body have been received.
+    fn body_bytes_received(&self, bytes: &[u8]) {
+        let _ = bytes;
+    }
+
+    /// Called after [`MessagePolicy::head_accepted`], with the length of the body, or `None` if it is
+    /// chunked, and with the bytes of it that were received together with the head.
+    fn body_started(&self, length: Option<u64>, received: &[u8]) {
+        let _ = (length, received);
+    }
 
     /// Called when the socket has taken bytes.
     fn bytes_written(&self) {}
@@ -186,12 +194,14 @@
                 }
                 Expected::Head | Expected::Nothing | Expected::Closed => MIN_READ_BYTES,
             });
+            let length_before = self.buffer.len();
             match self.socket.try_read_buf(&mut self.buffer) {
                 Err(error) if is_retryable(&error) => {}
                 read => {
                     self.read_at = Instant::now();
                     if matches!(self.expected, Expected::Body(_) | Expected::Unsized) {
-                        self.policy.body_bytes_received();
+                        let received = &self.buffer[length_before..];
+                        self.policy.body_bytes_received(received);
                     }
                     return Poll::Ready(read.map(|length| match length {
                         0 => ReadStep::EndOfStream,
@@ -265,6 +275,12 @@
         };
         self.policy
             .head_accepted(is_complete.then_some(self.read_at));
+        let received = &self.buffer[head.length..];
+        match head.next {
+            Expected::Body(length) => self.policy.body_started(Some(length), received),
+            Expected::Unsized => self.policy.body_started(None, received),
+            Expected::Head | Expected::Nothing | Expected::Closed => {}
+        }
         Ok(true)
     }
 
--- a/crates/proxy/src/http1/mod.rs
+++ b/crates/proxy/src/http1/mod.rs
@@ -2,6 +2,7 @@
 //! between a socket and hyper, limits on messages, and streamed bodies.
 
 pub mod body;
+pub mod chunked_end;
 pub mod download;
 pub mod enlarged_buffer;
 pub mod error;
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -78,8 +78,10 @@
     /// is lost to the others.
     current_reader: Cell<ReaderId>,
     state: Cell<UploadState>,
-    /// Notified when the state becomes complete or failed.
-    ended: Notify,
+    /// When the system had received the last byte, if that was noticed before the upload ended.
+    arrived_at: Cell<Option<Instant>>,
+    /// Notified when the last byte is known to have arrived, and when the upload has ended.
+    arrived: Notify,
     activity: Cell<Activity>,
     /// Reservation of the memory in which the upload is streamed.
     _memory: Reservation,
@@ -160,7 +162,8 @@
             is_consumed: Cell::new(false),
             current_reader: Cell::default(),
             state: Cell::new(UploadState::Receiving),
-            ended: Notify::new(),
+            arrived_at: Cell::new(None),
+            arrived: Notify::new(),
             activity: Cell::new(Activity::now(false)),
             _memory: memory,
         })
@@ -196,14 +199,28 @@
         }
     }
 
-    /// Waits until the upload is complete or has failed.
-    pub async fn ended(&self) {
+    /// Records that the system had received the last byte at `at`, although not all was read.
+    pub fn record_arrival(&self, at: Instant) {
+        if self.arrived_at().is_none() {
+            self.arrived_at.set(Some(at));
+            self.arrived.notify_waiters();
+        }
+    }
+
+    /// Returns when the last byte had arrived, or the upload failed; `None` while neither is known.
+    pub fn arrived_at(&self) -> Option<Instant> {
+        self.arrived_at.get().or(self.ended_at())
+    }
+
+    /// Waits until the last byte is known to have arrived or the upload has failed, and returns when that
+    /// was.
+    pub async fn arrived(&self) -> Instant {
         loop {
-            let ended = self.ended.notified();
-            if self.ended_at().is_some() {
-                return;
+            let arrived = self.arrived.notified();
+            if let Some(at) = self.arrived_at() {
+                return at;
             }
-            ended.await;
+            arrived.await;
         }
     }
 
@@ -249,7 +266,7 @@
     fn end(&self, state: UploadState) {
         if self.state.get() == UploadState::Receiving {
             self.state.set(state);
-            self.ended.notify_waiters();
+            self.arrived.notify_waiters();
         }
     }
 
--- a/crates/proxy/src/requests/registry.rs
+++ b/crates/proxy/src/requests/registry.rs
@@ -71,7 +71,7 @@
     /// came later.
     pub fn elapsed_since(&self, start: Instant) -> Duration {
         let upload = self.request.body().upload();
-        let last_byte_at = upload.and_then(|upload| upload.ended_at());
+        let last_byte_at = upload.and_then(|upload| upload.arrived_at());
         last_byte_at.map_or(start, |at| start.max(at)).elapsed()
     }
 
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -12,6 +12,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Size in bytes of the buffer for bytes that are skipped by [`peek_end`]. The system takes 1,024 parts at
+/// most, which are more than a socket can hold.
+const SKIP_BUFFER_BYTES: usize = 16 << 10;
+
 /// A TCP stream that waits for readiness only after the kernel has reported that no bytes are left.
 ///
 /// Tokio's own stream takes a read that fills only part of the buffer as a sign that no bytes are
@@ -94,13 +98,62 @@
     }
 }
 
+/// Returns how many bytes the system has received that were not read yet; 0 if it does not tell.
+pub fn unread_bytes(socket: &TcpStream) -> usize {
+    queued_bytes(socket, libc::FIONREAD)
+}
+
+/// Returns the last `MAX` of the first `unread` bytes that were received and not read, without reading
+/// them. Returns fewer if there are fewer, and none if the system does not tell.
+///
+/// The system copies all of them, since it cannot skip any. Those before the last ones go to one small
+/// buffer, again and again.
+pub fn peek_end<const MAX: usize>(socket: &TcpStream, unread: usize) -> Vec<u8> {
+    let mut skipped_bytes = [0_u8; SKIP_BUFFER_BYTES];
+    let mut end = [0_u8; MAX];
+    let mut to_skip = unread.saturating_sub(MAX);
+    let skipped = to_skip;
+    let mut parts = Vec::with_capacity(to_skip / SKIP_BUFFER_BYTES + 2);
+    while to_skip > 0 {
+        let length = to_skip.min(SKIP_BUFFER_BYTES);
+        parts.push(libc::iovec {
+            iov_base: skipped_bytes.as_mut_ptr().cast(),
+            iov_len: length,
+        });
+        to_skip -= length;
+    }
+    parts.push(libc::iovec {
+        iov_base: end.as_mut_ptr().cast(),
+        iov_len: unread.min(MAX),
+    });
+    // SAFETY: All zero is a valid `msghdr`. The call writes only to the two buffers, within their lengths.
+    #[allow(unsafe_code)]
+    let received = unsafe {
+        let mut message: libc::msghdr = std::mem::zeroed();
+        message.msg_iov = parts.as_mut_ptr();
+        message.msg_iovlen = parts.len() as _;
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        libc::recvmsg(socket.as_raw_fd(), &raw mut message, flags)
+    };
+    let length = usize::try_from(received)
+        .unwrap_or(0)
+        .saturating_sub(skipped);
+    end[..length].to_vec()
+}
+
 /// Returns how many bytes of the output of a socket its peer has not acknowledged, with one for the
 /// end of the output; 0 if the system does not tell.
 pub fn unacknowledged_bytes(socket: &TcpStream) -> usize {
+    queued_bytes(socket, libc::TIOCOUTQ)
+}
+
+/// Returns the number of bytes in the queue of a socket that the request names; 0 if the system does not
+/// tell.
+fn queued_bytes(socket: &TcpStream, request: libc::Ioctl) -> usize {
     let mut bytes: libc::c_int = 0;
     // SAFETY: The request writes one integer, to which the pointer leads.
     #[allow(unsafe_code)]
-    let result = unsafe { libc::ioctl(socket.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    let result = unsafe { libc::ioctl(socket.as_raw_fd(), request, &raw mut bytes) };
     if result == 0 {
         usize::try_from(bytes).unwrap_or(0)
     } else {
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -306,9 +306,8 @@
     }
 }
 
-/// Waits for the exchange of a request whose body is still being received. The backend starts to
-/// execute the request when it has the last byte, so the time until `deadline` counts from the last
-/// byte, too.
+/// Waits for the exchange of a request whose body is still being received. The time until `deadline`
+/// counts from when the last byte has arrived at this machine, whether or not it was read.
 ///
 /// An attempt may connect until `deadline` at most: meanwhile nobody reads the body, whose last byte
 /// the client may have sent before.
@@ -318,10 +317,11 @@
     progress: &Cell<SendProgress>,
     exchange: impl Future<Output = Exchange>,
 ) -> Exchange {
-    let time_limit = deadline.saturating_duration_since(Instant::now());
+    let started_at = Instant::now();
+    let time_limit = deadline.saturating_duration_since(started_at);
     let time_limit_reached = async {
-        upload.ended().await;
-        tokio::time::sleep(time_limit).await;
+        let arrived_at = upload.arrived().await;
+        tokio::time::sleep_until(arrived_at.max(started_at) + time_limit).await;
     };
     let connecting_too_long = async {
         tokio::time::sleep_until(deadline).await;
@@ -342,10 +342,12 @@
         AttemptOutcome::ConnectionReset | AttemptOutcome::TimedOut if upload.error().is_some() => {
             Exchange::failed(AttemptOutcome::NotSent)
         }
-        AttemptOutcome::ConnectionReset if !upload.is_complete() => Exchange {
-            outcome: AttemptOutcome::ConnectFailed,
-            ..exchange
-        },
+        AttemptOutcome::ConnectionReset | AttemptOutcome::TimedOut if !upload.is_complete() => {
+            Exchange {
+                outcome: AttemptOutcome::ConnectFailed,
+                ..exchange
+            }
+        }
         _ => exchange,
     }
 }
--- a/crates/proxy/tests/common/connection.rs
+++ b/crates/proxy/tests/common/connection.rs
@@ -6,6 +6,7 @@
 use super::within;
 use socket2::SockRef;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -82,6 +83,17 @@
         self.0.get_mut().set_rate(bytes_per_second);
     }
 
+    /// Returns how many bytes of the output the peer's system has not received.
+    pub fn unacknowledged_bytes(&self) -> usize {
+        let mut bytes: libc::c_int = 0;
+        // SAFETY: The request writes one integer, to which the pointer leads.
+        #[allow(unsafe_code)]
+        let result =
+            unsafe { libc::ioctl(self.socket().as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+        assert_eq!(result, 0, "the system does not tell the size of the queue");
+        usize::try_from(bytes).expect("the size of a queue")
+    }
+
     /// Closes the sending half, and waits until the peer has closed the connection without sending
     /// more.
     pub async fn close(mut self) {
--- a/crates/proxy/tests/common/servers.rs
+++ b/crates/proxy/tests/common/servers.rs
@@ -36,6 +36,21 @@
         )))
     }
 
+    /// Listens on an address of its own, with receive buffers of about this many bytes, or of the
+    /// system's size.
+    pub async fn with_receive_buffer(bytes: Option<u32>) -> Self {
+        let Some(bytes) = bytes else {
+            return ScriptedServer::new().await;
+        };
+        let socket = tokio::net::TcpSocket::new_v4().expect("creating a socket failed");
+        socket
+            .set_recv_buffer_size(bytes)
+            .expect("setting the buffer size failed");
+        socket.bind(unique_address()).expect("binding failed");
+        let listener = socket.listen(1024).expect("listening failed");
+        ScriptedServer(CloseGuarded(Some(listener)))
+    }
+
     /// Returns the address and port that it listens on.
     pub fn address(&self) -> SocketAddr {
         self.0.local_addr().expect("the local address")
