Count a backend with 2 KiB, and leave a part of the budget with any number

With 3,200 backends at 32 MB and two processes a node would have refused every request: counted 6 KiB for each backend, 19 MiB of a budget of 9.6 MiB.

Measured: a process holds 304 KiB with 12 backends, 1,088 KiB with 600 and 3,488 KiB with 3,200, which is 1 KiB each. Now 2 KiB are counted, and a quarter of the budget can be reserved in any case. memory_limits has cases with 3,200 backends: at 32 MB with two processes 322 requests are served in 2 s with a peak of 16,504 KiB, at 64 MB with one 1,404 with 31,468 KiB.

--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -23,6 +23,9 @@
 /// accepted, so that it can always be finished.
 const NEW_WORK_QUARTERS: usize = 3;
 
+/// At least the budget divided by this may be reserved, however much is always held.
+const MIN_CAPACITY_DIVISOR: usize = 4;
+
 /// What memory is reserved for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -125,9 +128,12 @@
         self.fixed.get()
     }
 
-    /// Returns the number of bytes that may be reserved.
+    /// Returns the number of bytes that may be reserved: what is not always held, and a quarter in any
+    /// case, so that a process with many backends serves some requests.
     pub fn capacity(&self) -> usize {
-        self.capacity.get().saturating_sub(self.fixed.get())
+        let capacity = self.capacity.get();
+        let smallest = capacity / MIN_CAPACITY_DIVISOR;
+        capacity.saturating_sub(self.fixed.get()).max(smallest)
     }
 
     /// Returns the number of bytes that the process holds without a reservation, as last set.
--- a/crates/proxy/src/memory_budget_tests.rs
+++ b/crates/proxy/src/memory_budget_tests.rs
@@ -43,6 +43,16 @@
     assert!(budget.try_reserve(1, Purpose::AcceptedWork).is_none());
 }
 
+/// A node with more backends than its memory was meant for must not refuse everything.
+#[test]
+fn part_of_the_budget_can_be_reserved_however_much_is_always_held() {
+    let budget = MemoryBudget::new(1000);
+    budget.set_fixed(300);
+    assert_eq!(budget.capacity(), 700);
+    budget.set_fixed(5000);
+    assert_eq!(budget.capacity(), 250);
+}
+
 #[test]
 fn memory_is_reclaimed_when_there_is_no_room() {
     let budget = MemoryBudget::new(1000);
--- a/crates/proxy/src/upstream/backend_registry.rs
+++ b/crates/proxy/src/upstream/backend_registry.rs
@@ -16,7 +16,7 @@
 const UNKNOWN_NAME_POSITION: u8 = u8::MAX;
 
 /// Memory in bytes that the process holds for each listed backend.
-const BACKEND_BYTES: usize = 6 << 10;
+const BACKEND_BYTES: usize = 2 << 10;
 
 /// Where an endpoint list comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/proxy/tests/memory_limits.rs
+++ b/crates/proxy/tests/memory_limits.rs
@@ -115,9 +115,15 @@
 /// Length in bytes of bodies that are streamed, tested with the first number of backends.
 const STREAMED_BODY_BYTES: usize = 300_000;
 
+/// Largest number of backends that a node may have, tested with the shortest bodies.
+const LARGEST_FLEET: usize = 3200;
+
 /// Runs all backends and bodies at one limit.
 async fn run_all(memory_mb: u64, processes: usize) {
-    let mut cases = vec![(BACKEND_COUNTS[0], STREAMED_BODY_BYTES)];
+    let mut cases = vec![
+        (BACKEND_COUNTS[0], STREAMED_BODY_BYTES),
+        (LARGEST_FLEET, BODY_BYTES[0]),
+    ];
     for backends in BACKEND_COUNTS {
         cases.extend(BODY_BYTES.map(|body_bytes| (backends, body_bytes)));
     }
