--- a/crates/proxy/src/downstream/request_handler.rs
+++ b/crates/proxy/src/downstream/request_handler.rs
@@ -157,21 +157,14 @@
         let waiting_since = Instant::now();
         let memory_deadline = waiting_since + head.timeout / MEMORY_WAIT_DIVISOR;
         let _memory = reserve(&self.memory, REQUEST_BYTES, memory_deadline, connection).await?;
-        let receiving = ReceiveLimits {
+        let limits = ReceiveLimits {
             head_started_at,
             timeout,
             memory: &self.memory,
             waiting_since,
             memory_deadline,
         };
-        connection.start_receiving_body();
-        let received = tokio::select! {
-            biased;
-            received = receive(body, &receiving, connection) => received,
-            () = connection.body_evicted() => Err(overloaded(connection)),
-        };
-        connection.finish_receiving_body();
-        let received = received?;
+        let received = receive_unless_evicted(body, &limits, connection).await?;
         let (due, remaining) = (received.due, received.remaining);
         let upload = received.body.upload().cloned();
         let pending = self
@@ -302,6 +295,26 @@
     memory_deadline: Instant,
 }
 
+/// Does the same as [`receive`], unless the place of the connection is needed while the body stalls.
+///
+/// # Errors
+///
+/// Returns the error of [`receive`], and [`RequestError::Overloaded`] if the body was evicted.
+async fn receive_unless_evicted(
+    body: Incoming,
+    limits: &ReceiveLimits<'_>,
+    connection: &ClientConnection,
+) -> Result<ReceivedRequest, RequestError> {
+    connection.start_receiving_body();
+    let received = tokio::select! {
+        biased;
+        received = receive(body, limits, connection) => received,
+        () = connection.body_evicted() => Err(overloaded(connection)),
+    };
+    connection.finish_receiving_body();
+    received
+}
+
 /// Reads a request's body as far as it is buffered.
 ///
 /// # Errors
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -212,6 +212,20 @@
         Ok(())
     }
 
+    /// Creates the listener for clients, which accepts nothing yet.
+    fn client_listener(&self) -> Rc<Listener> {
+        let pool_sizes = self.resource_limits.pool_sizes(self.peer_process_running);
+        Listener::new(
+            self.dispatcher.clone(),
+            self.endpoint_updates.clone(),
+            self.derived_settings.idempotency.clone(),
+            self.upstream_pool.memory().clone(),
+            pool_sizes.client_connections,
+            self.listeners.listening_since,
+            self.shutdown.subscribe(),
+        )
+    }
+
     /// Serves until a termination signal arrives, and shuts down gracefully.
     ///
     /// # Errors
@@ -226,17 +240,7 @@
         if let Some(listener) = self.listeners.admin.take() {
             self.spawn_admin_server(listener)?;
         }
-        let client_listener = Listener::new(
-            self.dispatcher.clone(),
-            self.endpoint_updates.clone(),
-            self.derived_settings.idempotency,
-            self.upstream_pool.memory().clone(),
-            self.resource_limits
-                .pool_sizes(self.peer_process_running)
-                .client_connections,
-            self.listeners.listening_since,
-            self.shutdown.subscribe(),
-        );
+        let client_listener = self.client_listener();
         if self.operator_state.is_operated {
             let monitor = PeerProcessMonitor {
                 control: self.control,
--- a/crates/proxy/src/requests/dispatcher.rs
+++ b/crates/proxy/src/requests/dispatcher.rs
@@ -174,9 +174,7 @@
             classes: self.metrics.take_classes(),
             attempts: std::mem::take(&mut state.attempt_counts),
             requests_in_flight: state.requests.len(),
-            backend_connections: self.client.pool().open_connections(),
-            reserved_bytes: self.client.pool().memory().reserved(),
-            unreserved_bytes: self.client.pool().memory().unreserved(),
+            pool: self.client.pool().usage(),
             in_maintenance: self.backends.in_maintenance(),
             balancer: state.balancer.snapshot(self.clock.now()),
         };
--- a/crates/proxy/src/requests/statistics_log.rs
+++ b/crates/proxy/src/requests/statistics_log.rs
@@ -2,6 +2,7 @@
 
 use crate::metrics::{ClassCounters, Counters};
 use crate::send_invariants::InvariantCounts;
+use crate::upstream::pool::PoolUsage;
 use balancer::{AttemptOutcome, BackendId, BackendSnapshot, BalancerSnapshot, ClassId};
 use rustc_hash::FxHashMap;
 use settings::SettingNames;
@@ -54,12 +55,8 @@
     pub attempts: FxHashMap<BackendId, AttemptCounts>,
     /// Number of requests in progress.
     pub requests_in_flight: usize,
-    /// Number of connections to backends, open or being opened.
-    pub backend_connections: usize,
-    /// Number of bytes reserved of the memory budget.
-    pub reserved_bytes: usize,
-    /// Number of bytes that the process holds besides, as last measured.
-    pub unreserved_bytes: usize,
+    /// Connections to backends, and memory.
+    pub pool: PoolUsage,
     /// Number of backends in maintenance, listed or not.
     pub in_maintenance: usize,
     /// State of the balancer at the end of the interval.
@@ -130,9 +127,9 @@
             counters.connections_accepted,
             counters.connection_close_sent,
             counters.backend_connects,
-            self.backend_connections,
-            self.reserved_bytes >> 10,
-            self.unreserved_bytes >> 10,
+            self.pool.open_connections,
+            self.pool.reserved_bytes >> 10,
+            self.pool.unreserved_bytes >> 10,
             self.in_maintenance,
         )
     }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -42,6 +42,17 @@
     pub idle_timeout: Duration,
 }
 
+/// How many connections and how much memory are in use.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolUsage {
+    /// Number of connections to backends, open or being opened.
+    pub open_connections: usize,
+    /// Number of bytes reserved of the memory budget.
+    pub reserved_bytes: usize,
+    /// Number of bytes that the process holds besides, as last measured.
+    pub unreserved_bytes: usize,
+}
+
 /// Why no connection to a backend could be acquired.
 #[derive(Debug, thiserror::Error)]
 pub enum AcquireError {
@@ -125,9 +136,13 @@
         &self.memory
     }
 
-    /// Returns the number of connections that are open or being opened.
-    pub fn open_connections(&self) -> usize {
-        self.permits.in_use()
+    /// Returns how much of the limits is in use.
+    pub fn usage(&self) -> PoolUsage {
+        PoolUsage {
+            open_connections: self.permits.in_use(),
+            reserved_bytes: self.memory.reserved(),
+            unreserved_bytes: self.memory.unreserved(),
+        }
     }
 
     /// Changes the limit on connections. Idle connections beyond the new limit are closed
