Let a request on a surplus connection wait for a place before it is refused

Cause: took the surplus slots from the others, refused at once where nothing could be evicted yet, and let new connections take the slots that evictions freed.

Change: surplus slots come from the reserved descriptors. A request waits for a quarter of its time, or for 0.1 s where another connection needs the surplus slot, and goes before connections without a request.

The monitor goes on if the system does not tell the memory once.

--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -28,13 +28,17 @@
 /// Memory in bytes that one client connection holds besides its request: its state and its buffers.
 pub const CONNECTION_BYTES: usize = 24 << 10;
 
-/// How long a request on a surplus connection waits for the slot of a connection that is being evicted.
-const MAX_SURPLUS_WAIT: Duration = Duration::from_millis(100);
-
-/// The table keeps the capacity divided by this for connections beyond the others, whose requests are
-/// refused.
+/// The table takes the capacity divided by this of connections more, whose requests are refused unless
+/// there is room by then.
 const SURPLUS_DIVISOR: usize = 8;
 
+/// How long a request on a surplus connection may wait for another slot even if other connections wait for
+/// the surplus slot: connections that are evicted free theirs in that time.
+const MIN_SURPLUS_WAIT: Duration = Duration::from_millis(100);
+
+/// Largest number of connections beyond the capacity.
+pub const MAX_SURPLUS_CONNECTIONS: usize = 16;
+
 /// The permit to hold one client connection open; dropping it frees the slot.
 pub struct ConnectionSlot {
     _permit: OwnedSemaphorePermit,
@@ -58,6 +62,10 @@
     /// Slots for connections that are accepted while no other slot is free, so that their clients are
     /// answered.
     surplus_slots: ResizableSemaphore,
+    /// Whether a connection waits for a surplus slot.
+    is_surplus_slot_wanted: Cell<bool>,
+    /// Number of requests on surplus connections that wait for another slot.
+    waiting_requests: Cell<usize>,
     /// From which each connection reserves [`CONNECTION_BYTES`].
     memory: Rc<MemoryBudget>,
     connections: RefCell<FxHashMap<ConnectionId, Rc<ClientConnection>>>,
@@ -71,8 +79,10 @@
     /// Creates an empty table for at most `capacity` connections, which reserve `memory`.
     pub fn new(capacity: usize, memory: Rc<MemoryBudget>, metrics: Rc<Metrics>) -> Rc<Self> {
         Rc::new(ConnectionTable {
-            slots: ResizableSemaphore::new(capacity - surplus_capacity(capacity)),
-            surplus_slots: ResizableSemaphore::new(surplus_capacity(capacity)),
+            slots: ResizableSemaphore::new(capacity),
+            surplus_slots: ResizableSemaphore::new(surplus_connections(capacity)),
+            is_surplus_slot_wanted: Cell::new(false),
+            waiting_requests: Cell::new(0),
             memory,
             connections: RefCell::default(),
             next_id: Cell::new(0),
@@ -83,8 +93,8 @@
 
     /// Changes the number of slots to `capacity`, and evicts connections if more are open.
     pub fn resize(&self, capacity: usize) {
-        self.slots.resize(capacity - surplus_capacity(capacity));
-        self.surplus_slots.resize(surplus_capacity(capacity));
+        self.slots.resize(capacity);
+        self.surplus_slots.resize(surplus_connections(capacity));
         if self.slots.is_over_capacity() {
             self.evict();
         }
@@ -100,13 +110,18 @@
     /// they do not keep new ones out.
     pub async fn acquire_slot(&self) -> ConnectionSlot {
         loop {
-            if let Some(slot) = self.try_acquire_slot() {
-                return slot;
+            // A request that waits for a slot goes before a connection that may send none.
+            if self.waiting_requests.get() == 0 {
+                if let Some(slot) = self.try_acquire_slot() {
+                    return slot;
+                }
             }
             self.evict();
             if let Some(slot) = self.try_acquire_surplus_slot() {
+                self.is_surplus_slot_wanted.set(false);
                 return slot;
             }
+            self.is_surplus_slot_wanted.set(true);
             let closed = self.connection_closed.notified();
             let _ = timeout(EVICTION_RETRY_INTERVAL, closed).await;
         }
@@ -122,16 +137,22 @@
         })
     }
 
-    /// Waits a little for a slot that is no surplus slot, if connections can be evicted for it. Returns
-    /// `None` if none gets free.
-    pub async fn slot_for_surplus_connection(&self) -> Option<ConnectionSlot> {
-        let deadline = Instant::now() + MAX_SURPLUS_WAIT;
+    /// Waits for a slot that is no surplus slot, for the request of a surplus connection. Returns `None`
+    /// if none gets free within `time_limit`, or until another connection waits for the surplus slot.
+    pub async fn slot_for_surplus_connection(
+        &self,
+        time_limit: Duration,
+    ) -> Option<ConnectionSlot> {
+        let started_at = Instant::now();
+        let _waiting = CountedWait::start(&self.waiting_requests);
         loop {
             if let Some(slot) = self.try_acquire_slot() {
                 return Some(slot);
             }
-            let is_any_evicted = self.evict();
-            if !is_any_evicted || Instant::now() >= deadline {
+            self.evict();
+            let waited = started_at.elapsed();
+            let may_wait_longer = waited < MIN_SURPLUS_WAIT || !self.is_surplus_slot_wanted.take();
+            if waited >= time_limit || !may_wait_longer {
                 return None;
             }
             tokio::time::sleep(EVICTION_RETRY_INTERVAL).await;
@@ -215,17 +236,32 @@
         }
     }
 
-    /// Evicts connections, up to the limit that [`EVICTION_DIVISOR`] sets. Returns whether it evicted
-    /// any.
-    fn evict(&self) -> bool {
+    /// Evicts connections, up to the limit that [`EVICTION_DIVISOR`] sets.
+    fn evict(&self) {
         let limit = self.slots.capacity().div_ceil(EVICTION_DIVISOR);
-        evict(self.connections.borrow().values(), limit, &self.metrics) > 0
+        evict(self.connections.borrow().values(), limit, &self.metrics);
+    }
+}
+
+/// Counts one wait for as long as it exists.
+struct CountedWait<'c>(&'c Cell<usize>);
+
+impl<'c> CountedWait<'c> {
+    fn start(count: &'c Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        CountedWait(count)
+    }
+}
+
+impl Drop for CountedWait<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
 
-/// Returns how many of `capacity` slots are for surplus connections.
-fn surplus_capacity(capacity: usize) -> usize {
-    capacity / SURPLUS_DIVISOR
+/// Returns how many connections the table takes beyond its `capacity`.
+fn surplus_connections(capacity: usize) -> usize {
+    (capacity / SURPLUS_DIVISOR).min(MAX_SURPLUS_CONNECTIONS)
 }
 
 /// A connection in the table, with its slot. Dropping it removes the connection from the table.
--- a/crates/proxy/src/downstream/connection_task.rs
+++ b/crates/proxy/src/downstream/connection_task.rs
@@ -6,7 +6,7 @@
 use crate::downstream::connection_table::OpenConnection;
 use crate::downstream::lingering_close::linger;
 use crate::downstream::request_handler::{is_health_check, RequestHandler};
-use crate::downstream::request_head::RequestError;
+use crate::downstream::request_head::{stated_timeout, RequestError};
 use crate::downstream::responses::{rejection, rejection_reason, set_connection_close, ClientBody};
 use crate::http1::head_filter::HeadFilter;
 use crate::metrics::Metrics;
@@ -32,6 +32,9 @@
 /// How long a surplus connection lingers: others wait for its slot to be told that there is no room.
 const SURPLUS_LINGER_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// A request on a surplus connection waits for a place for its time divided by this, then is refused.
+const SURPLUS_WAIT_DIVISOR: u32 = 4;
+
 /// Serves one client connection, from its accept until it ends.
 pub struct ConnectionTask {
     open_connection: OpenConnection,
@@ -155,7 +158,10 @@
         let is_surplus = self.open_connection.is_surplus();
         let _slot = if is_surplus && !is_health_check(&request) {
             let table = self.open_connection.table();
-            let Some(slot) = table.slot_for_surplus_connection().await else {
+            let Some(slot) = table
+                .slot_for_surplus_connection(surplus_wait(&request))
+                .await
+            else {
                 if !request.body().is_end_stream() {
                     connection.set_upload_unfinished();
                 }
@@ -175,3 +181,9 @@
         response
     }
 }
+
+/// Returns how long a request on a surplus connection waits for a place. One that states no valid time is
+/// rejected anyway.
+fn surplus_wait(request: &Request<Incoming>) -> Duration {
+    stated_timeout(request.headers()).unwrap_or_default() / SURPLUS_WAIT_DIVISOR
+}
--- a/crates/proxy/src/downstream/eviction.rs
+++ b/crates/proxy/src/downstream/eviction.rs
@@ -23,12 +23,12 @@
 /// Closes up to `limit` connections that owe no response and have no unread bytes, or whose request has a
 /// body that has stalled and is refused. Starts with those that have been in their state
 /// ([`ConnectionState::since`]), or have stalled, for the longest. Those younger than the minimum age for
-/// their state are kept. Returns how many were evicted.
+/// their state are kept.
 pub fn evict<'c>(
     connections: impl Iterator<Item = &'c Rc<ClientConnection>>,
     limit: usize,
     metrics: &Metrics,
-) -> usize {
+) {
     let mut evictable: Vec<_> = connections
         .filter_map(|connection| Some((evictable_since(connection)?, connection)))
         .collect();
@@ -42,7 +42,6 @@
             connection.close();
         }
     }
-    evictable.len()
 }
 
 /// Returns since when a connection makes no progress; `None` if it may not be evicted.
--- a/crates/proxy/src/downstream/request_head.rs
+++ b/crates/proxy/src/downstream/request_head.rs
@@ -221,6 +221,11 @@
     Some(value.trim())
 }
 
+/// Returns the timeout that a head states; `None` if there is none or it is invalid.
+pub fn stated_timeout(headers: &HeaderMap) -> Option<Duration> {
+    parse_timeout(header_text(headers, &TIMEOUT)?)
+}
+
 /// Parses a timeout: digits and a unit, `m` for milliseconds or `u` for microseconds. Returns
 /// `None` if the text is not of that form, or the timeout is zero or exceeds [`MAX_TIMEOUT`].
 fn parse_timeout(text: &str) -> Option<Duration> {
--- a/crates/proxy/src/memory_monitor.rs
+++ b/crates/proxy/src/memory_monitor.rs
@@ -16,14 +16,13 @@
 /// Free memory is released if more than the budget divided by this is held and not reserved.
 const RELEASE_DIVISOR: usize = 16;
 
-/// Measures the memory at each [`MEASURE_INTERVAL`]. Never returns, unless the system does not tell
-/// what the process uses.
+/// Measures the memory at each [`MEASURE_INTERVAL`], as far as the system tells it. Never returns.
 pub async fn run(budget: Rc<MemoryBudget>) {
     let mut interval = tokio::time::interval(MEASURE_INTERVAL);
     loop {
         interval.tick().await;
         let Some(mut unreserved) = unreserved_bytes(&budget) else {
-            return;
+            continue;
         };
         if unreserved > budget.capacity() / RELEASE_DIVISOR {
             allocator::release_free_memory();
--- a/crates/proxy/src/resource_limits.rs
+++ b/crates/proxy/src/resource_limits.rs
@@ -1,11 +1,12 @@
 //! Computes how many connections the descriptors and the memory of the process allow.
 
-use crate::downstream::connection_table::CONNECTION_BYTES;
+use crate::downstream::connection_table::{CONNECTION_BYTES, MAX_SURPLUS_CONNECTIONS};
 use rustix::process::{getrlimit, Resource};
 
-/// Number of descriptors kept for everything other than connections to clients and backends:
-/// standard streams, the listener, discovery and the runtime.
-const RESERVED_DESCRIPTORS: usize = 32;
+/// Number of descriptors kept for standard streams, the listener, discovery, files and the runtime.
+const PROCESS_DESCRIPTORS: usize = 16;
+/// Number of descriptors kept for everything other than the usual connections to clients and backends.
+const RESERVED_DESCRIPTORS: usize = PROCESS_DESCRIPTORS + MAX_SURPLUS_CONNECTIONS;
 /// Memory in bytes of the mapped program, which all processes of the node share.
 const PROGRAM_BYTES: usize = 4 << 20;
 /// Memory in bytes that a process holds besides its program, its backends, connections and messages.
